--- /dev/null
+++ b/aniseshed/__init__.py
@@ -0,0 +1,1 @@
+"""aniseshed: the decisions of a quota-keeping gateway, as a library."""
--- /dev/null
+++ b/aniseshed/interface.py
@@ -0,0 +1,319 @@
+"""The words between a limiter and its decisions: settings, events and actions.
+
+Nothing here decides anything.  Times are integer nanoseconds, a server is an opaque byte string,
+classes, plans, zones and kinds are positions in the lists of the settings.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+
+class Repeat(Enum):
+    """Whether a request that may have run can be sent again."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """Which servers drop a repeat of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Health(IntEnum):
+    """What the server list says of a server."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class ListKind(IntEnum):
+    """How a server list is to be read; FAILED carries no entries."""
+
+    DELTA = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class Outcome(IntEnum):
+    """How an attempt, a probe or a counter call ended."""
+
+    OK = 1
+    ERROR = 2
+    FULL = 3
+    TIMEOUT = 4
+    CONNECT_FAILED = 5
+    RESET = 6
+    CANCELLED = 7
+    MOOT = 8
+
+
+@dataclass(slots=True, frozen=True)
+class TrafficClass:
+    """One class of requests."""
+
+    aim_ns: int
+    deadline_ns: int
+    worth: float
+    late_worth: float
+    repeat: Repeat
+    group: Group
+    window_ns: int
+    stream: bool
+    aim_stretch: (
+        float  # by the request's own work, which nobody knows before its answer: the plain aim decides
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """One plan's quota, which holds for each customer over all limiters together."""
+
+    rate: float
+    burst: float
+    max_open: int
+    ceiling_rate: float
+    ceiling_burst: float
+    price: float
+    over_worth: float
+    over_cost: float
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """What a limiter is told at its start."""
+
+    index: int
+    limiters: int
+    zone: int
+    classes: tuple[TrafficClass, ...]
+    plans: tuple[Plan, ...]
+    largest_units: int
+    settles: bool
+    has_counter: bool
+    counter_timeout_ns: int
+    max_attempts: int
+    max_held: int
+    may_probe: bool
+    may_cancel: bool
+    may_duplicate: bool
+    may_advise: bool
+    max_retry_after_ns: int
+    connect_timeout_ns: int
+    subscribe: bool
+    ask_within_ns: int
+    drain_grace_ns: int
+    cold_from: float
+    cold_ns: int
+    fall_multiple: float
+    fall_ns: int
+    report_fields: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class ServerEntry:
+    """One line of a server list; born_ns is 0 for a start long past."""
+
+    server: bytes
+    zone: int
+    kind: int
+    cell: int
+    health: Health
+    weight: float
+    born_ns: int
+
+
+@dataclass(slots=True, frozen=True)
+class ServerList:
+    """What discovery says."""
+
+    kind: ListKind
+    entries: tuple[ServerEntry, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """A client's try; this limiter now owes it one final answer within patience_ns."""
+
+    request_id: int
+    traffic_class: int
+    plan: int
+    customer: int
+    patience_ns: int
+    units: float
+    set_size: float
+    set_start: float
+    repeated: bool
+
+
+@dataclass(slots=True, frozen=True)
+class StreamBegun:
+    """The answer has begun to flow and belongs to the client."""
+
+    request_id: int
+    server: bytes
+    attempt: int
+    elapsed_ns: int
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptEnded:
+    """The one end of an attempt; concluded says that the request needs no answer any more."""
+
+    request_id: int
+    attempt: int
+    server: bytes
+    outcome: Outcome
+    elapsed_ns: int
+    concluded: bool
+    meter: int
+    settled_units: int
+    report: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class HungUp:
+    """The client has gone; nothing is owed."""
+
+    request_id: int
+
+
+@dataclass(slots=True, frozen=True)
+class TimerFired:
+    """A timer set earlier has run down."""
+
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Probed:
+    """The end of a probe."""
+
+    server: bytes
+    outcome: Outcome
+    elapsed_ns: int
+    report: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class PeerMessage:
+    """Bytes from another limiter."""
+
+    sender: int
+    payload: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Counted:
+    """The one answer to a counter call; total holds with OK only."""
+
+    name: int
+    outcome: Outcome
+    total: float
+    elapsed_ns: int
+
+
+Event = (
+    ServerList | Request | StreamBegun | AttemptEnded | HungUp | TimerFired | Probed | PeerMessage | Counted
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    """Start an attempt; until_ns 0 leaves it to the client's patience."""
+
+    request_id: int
+    server: bytes
+    until_ns: int
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    """Final answer: it never ran or a repeat is harmless; retry_after_ns 0 gives no advice."""
+
+    request_id: int
+    retry_after_ns: int
+
+
+@dataclass(slots=True, frozen=True)
+class Fail:
+    """Final answer that says nothing of what has run."""
+
+    request_id: int
+
+
+@dataclass(slots=True, frozen=True)
+class Cancel:
+    """Wait no longer for one attempt."""
+
+    request_id: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class SetTimer:
+    """Ask for a TimerFired after delay_ns."""
+
+    delay_ns: int
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    """Look whether a server answers."""
+
+    server: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class CloseIdle:
+    """Close idle connections to a server."""
+
+    server: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Tell:
+    """Send bytes to one limiter, or to all when peer is None."""
+
+    peer: int | None
+    payload: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Count:
+    """Add amount to a shared number, which lives lifetime_ns from its first call."""
+
+    name: int
+    amount: float
+    lifetime_ns: int
+
+
+@dataclass(slots=True, frozen=True)
+class Log:
+    """A line for the operators."""
+
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class Watch:
+    """Subscribe to changes of the server list, or stop."""
+
+    active: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Fetch:
+    """Ask once for the whole server list."""
+
+
+Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Count | Log | Watch | Fetch
--- /dev/null
+++ b/aniseshed/policy.py
@@ -0,0 +1,440 @@
+"""Every decision of aniseshed; its types, events and actions are in aniseshed/interface.py.
+
+What a customer's slice, a SmoothBursty, cannot pass is asked of the counter, then held or refused."""
+
+from __future__ import annotations
+
+import math
+import random
+import zlib
+from collections import deque
+from collections.abc import Callable
+
+from aniseshed import interface as api
+from aniseshed.interface import Group, Health, ListKind, Outcome, Repeat
+from aniseshed.state import Attempt, Customer, Level, Server, Work, apply_list
+
+SECOND_NS = 1_000_000_000
+WINDOW_BURSTS = 2.5  # life of a count, in times to refill the burst: long against what its end loses
+NAME_BITS = 33  # of a count's name that tell the customer; the others tell the window
+LONGEST_LIFE_NS = 60 * SECOND_NS  # no counter keeps a name longer
+ROOM_FLOOR = -0.5  # of the burst: the most that tries beyond the quota leave as a debt
+REPORT_SHARE = 0.12  # of a slice of the room left: local spends as large are told unasked
+COUNTER_WAITS = 3.0  # counter time-outs that a client must have left for a question
+CALLS_A_TIMEOUT = 20.0  # calls that the counter is first thought to serve in one of its time-outs, for all
+CALL_FASTER, CALL_SLOWER = 0.97, 1.3  # times the gap between calls, for an answer, for a miss
+CALL_RANGE = 8.0  # how far the gap may go from the first guess, and how far misses in a row slow it
+CALLS_SAVED = 4.0  # calls that a quiet while leaves for a busy one; telling local spends leaves half of them
+HOLD_AIM = 0.4  # of the aim: the longest hold that still leaves time to be served
+IDLE_WINDOWS = 2.0  # windows without traffic after which a bucket is full anyway and forgotten
+GAIN = 0.1  # weight of one answer in the running means: about ten answers to believe a change
+OVERDUE = 3.0  # an attempt out for this many usual times says by itself that its server is slow
+CANDIDATES = 8  # servers that a limiter keeps to: few enough to know them by its own answers
+FULL_AIM = 2.0  # aims for which a server is passed over by a plan's class that it was full for
+EJECT_FAILS = 2  # failures in a row that eject a server: one may be chance
+EJECT_TIMEOUTS = 4.0  # connect time-outs that an ejection lasts; then one attempt at a time
+EJECT_MOST = 0.5  # of the fleet at most ejected: if more fail, the fault is not theirs
+PACE = 0.5  # of the multiple at which a cold server falls: all limiters stay this far below it
+WATCH_AGAIN = 0.2  # of the time in which discovery must be asked, to twice that: when to ask again
+LATE_AIM = 0.75  # of the aim: an answer later than this counts as late, while there is time to react
+LATE_SHARE = 0.15  # of late answers that shows congestion: more than the tail of the work itself
+LATE_GAIN = 0.05  # weight of one answer in that share: a few late ones in a row are chance
+CUT = 0.75  # what a cut leaves of the limit; once for the attempts sent since the last cut
+FIRST_OUT = 3.0  # attempts out at a server, over all limiters, that it is first thought to bear
+RAISE_AT = 0.5  # of the limit: out more than this, answers in time raise it; unvouched requests stay below
+RAISE = 0.08  # added to the limit for each answer in time after a cut, and no more than one a round
+CHEAP_LIMIT = 0.7  # of the limit that the cheapest request may use, so that dear ones find room
+RETRY_RATIO = 0.15  # further attempts for each first one, so that retries never double a load
+RETRY_DEPOSIT = 10.0  # and this many may be saved up for a sudden failure
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+
+
+class SmoothBursty:
+    """Guava's bucket: stored permits go first, the shortfall is taken ahead and the next one waits."""
+
+    def __init__(self, now_ns: int, rate: float, burst: float, stored: float) -> None:
+        self.stored_permits, self.max_permits = stored, burst
+        self.stable_interval_ns, self.next_free_ticket_ns = SECOND_NS / rate, now_ns
+
+    def resync(self, now_ns: int) -> None:
+        if now_ns > self.next_free_ticket_ns:
+            fresh = (now_ns - self.next_free_ticket_ns) / self.stable_interval_ns
+            self.stored_permits = min(self.max_permits, self.stored_permits + fresh)
+            self.next_free_ticket_ns = now_ns
+
+    def reserve(self, permits: float) -> int:
+        """Take permits (settling may give some back: below 0); the ticket at which they are free."""
+        ticket_ns, spend = self.next_free_ticket_ns, min(permits, self.stored_permits)
+        self.stored_permits = min(self.max_permits, self.stored_permits - spend)
+        self.next_free_ticket_ns += round((permits - spend) * self.stable_interval_ns)
+        return ticket_ns
+
+
+class Limiter:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings, self.random = settings, random.Random(seed)
+        self.now_ns, self.actions = 0, list[api.Action]()
+        self.customers: dict[int, Customer] = {}
+        self.servers: dict[bytes, Server] = {}
+        self.ring, self.ejected = list[Server](), set[Server]()
+        self.work: dict[int, Work] = {}
+        self.flights: dict[tuple[int, int], Attempt] = {}
+        self.timers: dict[int, tuple[Callable[..., object], Work | None]] = {}
+        self.calls_out: dict[int, deque[tuple[Customer, int, float, float]]] = {}  # by name of the count
+        self.token, self.misses, self.limiters = 0, 0, max(1, settings.limiters)
+        self.gap_ns = self.first_ns = max(1, self.limiters * settings.counter_timeout_ns / CALLS_A_TIMEOUT)
+        self.calls = SmoothBursty(0, SECOND_NS / self.gap_ns, CALLS_SAVED, CALLS_SAVED)
+        self.usual_ns = [0.0] * len(settings.classes)  # of one unit's answer
+        self.longest_ns = [0] * len(settings.classes)
+        self.young: list[deque[Attempt]] = [deque() for _ in settings.classes]
+        self.limit, self.late, self.cut_ns, self.value = 0.0, 0.0, 0, 0.0
+        self.retry_tokens, self.answers, self.answers_ns = RETRY_DEPOSIT, 0.0, 0
+        self.out = Level(max((kind.aim_ns for kind in settings.classes), default=SECOND_NS))
+        self.handlers: dict[type, Callable[..., None]] = {
+            api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
+            api.Counted: self.on_counted, api.HungUp: self.end, api.ServerList: self.on_list,
+            api.StreamBegun: self.end}  # fmt: skip
+
+    def handle(self, now_ns: int, event: api.Event) -> list[api.Action]:
+        """The actions that answer one event."""
+        self.now_ns, self.actions = now_ns, []
+        if handler := self.handlers.get(type(event)):
+            handler(event)
+        return self.actions
+
+    def timer(self, delay_ns: float, call: Callable[..., object], work: Work | None = None) -> None:
+        self.token = (self.token + 1) & 0xFFFFFFFF
+        self.timers[self.token] = (call, work)
+        self.actions.append(api.SetTimer(max(0, round(delay_ns)), self.token))
+
+    def on_timer(self, event: api.TimerFired) -> None:
+        call, work = self.timers.pop(event.token, (None, None))
+        if call and work is None:
+            self.actions.append(api.Watch(True))
+        elif call and work and self.work.get(work.request.request_id) is work:
+            call(work)
+
+    def on_request(self, request: api.Request) -> None:
+        index, now_ns = request.traffic_class, self.now_ns
+        if index >= len(self.settings.classes) or request.plan >= len(self.settings.plans):
+            return self.actions.append(api.Refuse(request.request_id, 0))
+        kind, plan = self.settings.classes[index], self.settings.plans[request.plan]
+        units = request.units if 0 < request.units < math.inf else 1.0
+        # A repeat comes with what is left of the deadline: guards against work for what is late already.
+        cut = request.repeated and request.patience_ns < self.longest_ns[index]
+        passed_ns = max(0, kind.deadline_ns - request.patience_ns) * cut
+        self.longest_ns[index] = max(self.longest_ns[index], request.patience_ns)
+        aim_ns = now_ns + min(kind.aim_ns - passed_ns, request.patience_ns)
+        customer = self.customer_of(request, plan)
+        work = self.work[request.request_id] = Work(request, kind, plan, units, customer, aim_ns)
+        full = plan.max_open and customer.open >= max(1, int(plan.max_open / customer.set_size))
+        value = work.kind.worth * plan.price * units
+        self.value += GAIN * (value - self.value) if self.value else value
+        work.rank = min(1.0, value / self.value)
+        # Guards against work that cannot end in the time its client has, however it is repeated.
+        late = aim_ns <= now_ns and not kind.late_worth or self.usual_ns[index] * units > request.patience_ns
+        if full or self.pressed(work) or late:
+            self.refuse(work, kind.aim_ns)
+        elif plan.rate <= 0 or plan.burst <= 0:
+            self.send(work)
+        else:
+            self.admit(work, customer)
+
+    def admit(self, work: Work, customer: Customer) -> None:
+        """The ordinary path: the slice, then the counter, then the ticket."""
+        customer.bucket.resync(self.now_ns)
+        # Guards against slices and grants together passing the quota: of a spent one, a slice is nothing.
+        short = customer.total is not None and self.refill(customer) < work.units
+        timely = work.request.patience_ns > COUNTER_WAITS * self.settings.counter_timeout_ns
+        call = timely and not short and self.may_call(1 + (CALLS_SAVED - 1) * (1 - work.rank))
+        # Guards against all limiters of a large set taking ahead at once what none of their slices can hold.
+        sliver = call and customer.bucket.max_permits < work.units
+        work.asking = True
+        if not call and customer.bucket.max_permits < work.units and self.pressed(work, RAISE_AT):
+            self.refuse(work, work.kind.aim_ns)  # guards against bursts nobody vouches for
+        elif customer.bucket.next_free_ticket_ns <= self.now_ns and not short and not sliver:
+            customer.bucket.reserve(work.units)
+            self.spend_locally(customer, work.units)
+            self.send(work)
+        elif call:
+            self.count(customer, work.request.request_id, work.units)
+        else:
+            self.hold(work)
+
+    def customer_of(self, request: api.Request, plan: api.Plan) -> Customer:
+        customer = self.customers.pop(request.customer, None)
+        if customer is None:
+            now_ns, size = self.now_ns, min(max(1.0, request.set_size), self.limiters)
+            rate, burst = (plan.rate, plan.burst) if plan.rate > 0 and plan.burst > 0 else (1.0, 1.0)
+            bounds = (plan.ceiling_rate / size, plan.ceiling_burst / size, 0.0)  # empty: starts forget
+            ceiling = SmoothBursty(now_ns, *(bounds if plan.ceiling_rate > 0 else (1.0, math.inf, math.inf)))
+            bucket = SmoothBursty(now_ns, rate / size, burst / size, burst / size)
+            customer = Customer(request.customer, rate, burst, size, bucket, ceiling, burst, now_ns, now_ns)
+            for old in list(self.customers.values()):  # in order of last use
+                if old.calls or old.open or now_ns - old.seen_ns < IDLE_WINDOWS * self.window_ns(old):
+                    break
+                del self.customers[old.name]
+        self.customers[request.customer] = customer
+        customer.seen_ns = self.now_ns
+        return customer
+
+    def window_ns(self, customer: Customer) -> int:
+        return min(round(WINDOW_BURSTS * customer.burst / customer.rate * SECOND_NS), LONGEST_LIFE_NS)
+
+    def name_of(self, customer: Customer) -> int:
+        return (customer.name + (self.now_ns // self.window_ns(customer) << NAME_BITS)) % (1 << 64)
+
+    def refill(self, customer: Customer) -> float:
+        full = customer.room + customer.rate * (self.now_ns - customer.room_ns) / SECOND_NS
+        customer.room, customer.room_ns = min(customer.burst, full), self.now_ns
+        customer.spilled += full - customer.room
+        return customer.room
+
+    def spend(self, customer: Customer, units: float) -> None:
+        customer.room = min(customer.burst, max(self.refill(customer) - units, ROOM_FLOOR * customer.burst))
+
+    def learn(self, customer: Customer, total: float, added: float) -> None:
+        """Take from the room what others added since the last answer, or since the window began."""
+        window_ns = self.window_ns(customer)
+        window, elapsed_s = self.now_ns // window_ns, self.now_ns % window_ns / SECOND_NS
+        # A new window or lost counts, one case for both.
+        if customer.total is None or customer.window != window or total < customer.mine + added - 0.01:
+            if customer.total is not None and total <= added + 0.01:
+                # The first to call then hands on what is missing, or each window would grant a burst anew.
+                customer.unreported += max(0.0, customer.burst - customer.left)
+            customer.window, customer.total, customer.mine = window, 0.0, 0.0
+            customer.spilled = min(customer.spilled, customer.rate * elapsed_s)
+        others = total - customer.total - added
+        customer.total, customer.mine = total, customer.mine + added
+        # Guards against believing a customer seldom seen here to be spent: others took the spilled first.
+        self.refill(customer)
+        self.spend(customer, max(0.0, others - customer.spilled) if others > 0 else others)
+        customer.spilled, customer.left = 0.0, customer.room
+
+    def may_call(self, saved: float) -> bool:
+        """Guards against a counter so crowded or slow that it answers nobody: each limiter paces its calls
+        by what it sees.  Could refuse where a slow counter would still have answered."""
+        self.calls.resync(self.now_ns)
+        free = self.calls.next_free_ticket_ns <= self.now_ns
+        return self.settings.has_counter and free and self.calls.stored_permits >= saved
+
+    def count(self, customer: Customer, request_id: int, units: float) -> None:
+        """Call the counter with these units and all local spends since the last call."""
+        local, customer.unreported = customer.unreported, 0.0
+        name = self.name_of(customer)
+        self.calls_out.setdefault(name, deque()).append((customer, request_id, units, local))
+        customer.calls += 1
+        self.calls.reserve(1.0)
+        self.actions.append(api.Count(name, units + local, self.window_ns(customer)))
+
+    def spend_locally(self, customer: Customer, units: float) -> None:
+        """Unreported spends are an error in everyone's view: it is kept to a part of the room left."""
+        self.spend(customer, units)
+        customer.unreported += units
+        large = REPORT_SHARE * max(0.0, customer.room) / customer.set_size
+        if customer.unreported >= large and self.may_call(CALLS_SAVED / 2):
+            self.count(customer, -1, 0.0)
+
+    def on_counted(self, event: api.Counted) -> None:
+        if not (asked := self.calls_out.get(event.name)):
+            return
+        customer, request_id, units, local = asked.popleft()
+        if not asked:
+            del self.calls_out[event.name]
+        customer.calls -= 1
+        work, heard = self.work.get(request_id), event.outcome is Outcome.OK
+        change = CALL_FASTER if heard else CALL_SLOWER if not self.misses else 1.0
+        self.gap_ns = min(max(self.gap_ns * change, self.first_ns / CALL_RANGE), self.first_ns * CALL_RANGE)
+        self.misses = 0 if heard else min(self.misses + 1, int(CALL_RANGE))  # a long outage must not overflow
+        self.calls.stable_interval_ns = self.gap_ns * min(2.0**self.misses, CALL_RANGE)
+        if heard and math.isfinite(event.total) and event.name == self.name_of(customer):
+            self.learn(customer, event.total, units + local)
+            if work and work.asking and customer.room >= units:
+                self.spend(customer, units)
+                return self.send(work)
+            customer.unreported -= max(0.0, units)
+            if customer.unreported < 0 and self.may_call(1.0):
+                self.count(customer, -1, 0.0)
+        elif event.outcome in NEVER_RAN:
+            customer.unreported += local
+        elif not heard and customer.total is not None:  # a call that timed out is taken for added
+            customer.total += units + local
+            customer.unreported -= units
+        if work and work.asking:
+            self.hold(work)
+
+    def hold(self, work: Work) -> None:
+        """Without a grant: wait for the ticket if deadline and aim allow, else refuse at once."""
+        customer, work.asking = work.customer, False
+        if work.plan.over_worth > work.plan.over_cost and not self.pressed(work, CHEAP_LIMIT):
+            return self.send(work)  # beyond the quota it earns more than it costs, and there is room
+        customer.bucket.resync(self.now_ns)
+        wait_ns = customer.bucket.next_free_ticket_ns - self.now_ns
+        if customer.total is not None:
+            wait_ns = max(wait_ns, round((work.units - self.refill(customer)) / customer.rate * SECOND_NS))
+        if wait_ns > HOLD_AIM * (work.aim_ns - self.now_ns):
+            return self.refuse(work, wait_ns)
+        customer.bucket.reserve(work.units)
+        self.spend_locally(customer, work.units)  # told now, so that nobody grants it meanwhile
+        self.timer(wait_ns, self.send, work)
+
+    def refuse(self, work: Work, wait_ns: int) -> None:
+        """The final answer without success: a refusal only where a repeat is harmless."""
+        request_id, kind = work.request.request_id, work.kind
+        del self.work[request_id]
+        harmless = kind.repeat is Repeat.SAFE or (kind.repeat is Repeat.KEYED and kind.group is Group.ALL)
+        refusable = harmless or not any(a.may_have_run for a in work.attempts)
+        advice_ns = min(max(0, wait_ns), self.settings.max_retry_after_ns) if self.settings.may_advise else 0
+        self.actions.append(api.Refuse(request_id, advice_ns) if refusable else api.Fail(request_id))
+
+    def on_list(self, event: api.ServerList) -> None:
+        if event.kind is ListKind.FAILED and self.settings.subscribe:  # fires without work: subscribe
+            self.timer(self.settings.ask_within_ns * WATCH_AGAIN * self.random.uniform(1, 2), self.again)
+        if event.kind is ListKind.CACHED and self.settings.subscribe:
+            self.actions.append(api.Watch(True))
+        apply_list(self.servers, event)
+        # Walked by each limiter from its own place: few servers each, equally many limiters at each.
+        order = sorted(self.servers, key=zlib.crc32)
+        first = self.settings.index * len(order) // self.limiters
+        self.ring = [self.servers[key] for key in order[first:] + order[:first]]
+        self.limit = self.limit or FIRST_OUT * len(self.servers) / self.limiters
+
+    def share(self, server: Server) -> float:
+        """Slow start: the part of its capacity that a server is sure to have."""
+        age = (self.now_ns - server.born_ns) / max(1, self.settings.cold_ns)
+        if server.born_ns <= 0 or age >= 1:
+            return 1.0
+        return self.settings.cold_from + (1 - self.settings.cold_from) * max(0.0, age)
+
+    def pressed(self, work: Work, part: float = 1.0) -> bool:
+        """Guards against congestive collapse, whatever its cause: is the limit spent, for this worth?"""
+        for kind, young in zip(self.settings.classes, self.young, strict=True):
+            while young and young[0].sent_ns + LATE_AIM * kind.aim_ns <= self.now_ns:
+                if (attempt := young.popleft()).out:
+                    self.sample(True, attempt.sent_ns)
+        limit = self.limit * part * (CHEAP_LIMIT + (1 - CHEAP_LIMIT) * work.rank)
+        return self.out.mean(self.now_ns) >= limit or len(self.flights) >= limit + 2 * math.sqrt(limit) + 1
+
+    def sample(self, late: bool, sent_ns: int) -> None:
+        """Move the limit: up while it is used and answers are in time, down by a part when they are not."""
+        self.late += LATE_GAIN * (late - self.late)
+        out = self.out.mean(self.now_ns)
+        if late and self.late > LATE_SHARE and sent_ns > self.cut_ns:
+            self.limit = max(len(self.servers) / self.limiters, CUT * min(self.limit, out))
+            self.cut_ns, self.late = self.now_ns, LATE_SHARE / 2
+        elif not late and out >= RAISE_AT * self.limit:
+            self.limit += min(RAISE, 1 / self.limit)
+
+    def pick(self, tried: list[Server], request: api.Request) -> Server | None:
+        """The least loaded by own outstanding work and recent slowness, over what it can take."""
+        best, best_cost, seen = None, math.inf, 0
+        self.ejected = {server for server in self.ejected if server.eject_until_ns > self.now_ns}
+        trust = len(self.ejected) <= EJECT_MOST * len(self.servers)
+        for server in self.ring:
+            out = trust and (server.eject_until_ns > self.now_ns or (server.trial and server.out))
+            full = server.full_until_ns.get((request.plan, request.traffic_class), 0) > self.now_ns
+            if server.entry.health is not Health.READY or server in tried or out or full:
+                continue
+            share = self.share(server)
+            if share < 1 and (self.now_ns < server.pace_ns or (server.out and not self.answers)):
+                continue
+            weight = server.entry.weight if server.entry.weight > 0 else 1.0
+            cost = (len(server.out) + 1) * server.slow / (weight * share) * self.random.uniform(0.99, 1.01)
+            if cost < best_cost:
+                best, best_cost = server, cost
+            if (seen := seen + 1) >= CANDIDATES:
+                break
+        return best
+
+    def send(self, work: Work) -> None:
+        """The first attempt, within this limiter's part of a ceiling."""
+        self.retry_tokens = min(RETRY_DEPOSIT, self.retry_tokens + RETRY_RATIO)
+        ceiling, server, work.asking = work.customer.ceiling, self.pick([], work.request), False
+        ceiling.resync(self.now_ns)
+        if server is None or ceiling.stored_permits < work.units:
+            return self.refuse(work, work.kind.aim_ns)
+        ceiling.reserve(work.units)
+        self.attempt(work, server)
+
+    def attempt(self, work: Work, server: Server) -> None:
+        request_id, index, number = work.request.request_id, work.request.traffic_class, len(work.attempts)
+        share = self.share(server)
+        if share < 1 and self.answers:
+            # Guards against pushing a cold server over: paced to its share of what a warm one answered.
+            rate = self.answers * SECOND_NS / self.settings.cold_ns / min(CANDIDATES, len(self.servers))
+            pace_ns = SECOND_NS / max(rate * share * self.settings.fall_multiple * PACE, 0.01)
+            server.pace_ns = max(server.pace_ns, self.now_ns) + round(pace_ns)
+        attempt = Attempt(server, work.customer, index, work.request.plan, work.units, self.now_ns)
+        self.out.step(self.now_ns, 1)
+        self.flights[(request_id, number)] = server.out[(request_id, number)] = attempt
+        work.attempts.append(attempt)
+        self.young[index].append(attempt)
+        work.customer.open += 1
+        self.actions.append(api.Send(request_id, server.entry.server, 0))
+
+    def again(self, work: Work) -> bool:
+        """One more attempt, where class, budget and time allow; while busy, none: it displaces another."""
+        kind, ran = work.kind, [a for a in work.attempts if a.may_have_run]
+        dropped_ns = kind.window_ns if kind.repeat is Repeat.KEYED and kind.group is Group.ALL else 0
+        twice = kind.repeat is not Repeat.SAFE and any(self.now_ns >= a.sent_ns + dropped_ns for a in ran)
+        late = self.now_ns >= work.aim_ns and not kind.late_worth
+        spent = len(work.attempts) >= self.settings.max_attempts or self.retry_tokens < 1
+        server = self.pick([a.server for a in work.attempts], work.request)
+        if late or spent or twice or server is None or self.out.mean(self.now_ns) >= CHEAP_LIMIT * self.limit:
+            return False
+        self.retry_tokens -= 1
+        self.attempt(work, server)
+        return True
+
+    def end(self, event: api.HungUp | api.StreamBegun | api.AttemptEnded) -> None:
+        """The request is over: forget it and wait for none of its other attempts."""
+        work = self.work.pop(event.request_id, None)
+        own = None if isinstance(event, api.HungUp) else event.attempt
+        for number, attempt in enumerate(work.attempts if work else ()):
+            if attempt.out and number != own and self.settings.may_cancel:
+                self.actions.append(api.Cancel(event.request_id, number))
+
+    def on_ended(self, event: api.AttemptEnded) -> None:
+        if (attempt := self.flights.pop((event.request_id, event.attempt), None)) is None:
+            return
+        self.out.step(self.now_ns, -1)
+        attempt.out, attempt.may_have_run = False, event.outcome not in NEVER_RAN
+        attempt.server.out.pop((event.request_id, event.attempt), None)
+        in_time = event.elapsed_ns <= LATE_AIM * self.settings.classes[attempt.index].aim_ns
+        # Full says nothing of others: servers may turn one plan or class away though they have room.
+        if event.outcome is Outcome.OK and in_time:
+            self.sample(False, attempt.sent_ns)
+        self.observe(attempt, event)
+        attempt.customer.open -= 1
+        if event.outcome is Outcome.OK and event.settled_units:  # bucket and count get the difference
+            more = event.settled_units - attempt.units
+            attempt.customer.bucket.resync(self.now_ns)
+            attempt.customer.bucket.reserve(more)
+            self.spend(attempt.customer, more)
+            attempt.customer.unreported += more
+        work = self.work.get(event.request_id)
+        if event.concluded or event.outcome is Outcome.OK:
+            self.end(event)
+        elif work is not None and not any(a.out for a in work.attempts) and not self.again(work):
+            self.refuse(work, 0)
+
+    def observe(self, attempt: Attempt, event: api.AttemptEnded) -> None:
+        """Learn from how an attempt ended; a failure is no fast answer, a slow one counts bounded."""
+        server, usual = attempt.server, self.usual_ns[attempt.index]
+        if event.outcome is Outcome.OK:
+            took_ns = event.elapsed_ns / attempt.units
+            self.usual_ns[attempt.index] = usual + GAIN * (took_ns - usual) if usual else took_ns
+            ratio = min(took_ns / max(1.0, self.usual_ns[attempt.index]), OVERDUE)
+            server.slow += GAIN * (ratio - server.slow)
+            passed = (self.now_ns - self.answers_ns) / max(1, self.settings.cold_ns)
+            self.answers, self.answers_ns = self.answers * math.exp(-passed) + 1, self.now_ns
+            server.fails, server.trial = 0, False
+        elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.ERROR):
+            server.fails += 1
+            if server.fails >= EJECT_FAILS:
+                server.eject_until_ns = self.now_ns + round(EJECT_TIMEOUTS * self.settings.connect_timeout_ns)
+                server.trial = True
+                self.ejected.add(server)
+        elif event.outcome is Outcome.FULL:
+            aim_ns = self.settings.classes[attempt.index].aim_ns
+            server.full_until_ns[attempt.plan, attempt.index] = self.now_ns + round(FULL_AIM * aim_ns)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,147 @@
+"""Full size: hundreds of limiters, each seeing a sliver of the traffic, bounded in all."""
+
+import random
+from dataclasses import replace
+
+from helpers import MS, SECOND, SETTINGS, START, Bench, entry
+
+from aniseshed import interface as api
+
+LIMITERS = 120
+SMALL = replace(SETTINGS.plans[0], rate=20.0, burst=40.0)
+FLEET = replace(SETTINGS, limiters=LIMITERS, plans=(SMALL,))
+
+
+def fleet(settings: api.Settings = FLEET, limiters: int = LIMITERS, servers: int = 20) -> list[Bench]:
+    return [Bench(replace(settings, index=i), servers=servers, seed=i) for i in range(limiters)]
+
+
+class Counter:
+    """The shared counter's double: numbers by name, answered in the order of the calls."""
+
+    def __init__(self) -> None:
+        self.numbers: dict[int, float] = {}
+        self.calls = 0
+
+    def answer(self, bench: Bench) -> None:
+        while bench.unanswered:
+            call = bench.unanswered[0]
+            self.calls += 1
+            self.numbers[call.name] = self.numbers.get(call.name, 0.0) + call.amount
+            bench.counted(self.numbers[call.name])
+
+
+def passed(benches: list[Bench]) -> float:
+    return float(sum(len(bench.attempts) for bench in benches))
+
+
+def test_all_limiters_of_a_heavy_customer_pass_little_beyond_its_quota() -> None:
+    # Guards against each of a large set taking ahead what its slice cannot hold: 120 slices of a third.
+    benches, counter, chance = fleet(), Counter(), random.Random(1)
+    seconds, each = 6, 2.0
+    for _ in range(seconds * 40):  # 80 units a second, four times the rate
+        for bench in benches:
+            bench.advance(25 * MS)
+        bench = chance.choice(benches)
+        rid = bench.ask(units=each, set_size=float(LIMITERS))
+        counter.answer(bench)
+        if bench.was_sent(rid):
+            bench.end(rid)
+    quota = SMALL.burst + SMALL.rate * seconds
+    assert 0.5 * quota < passed(benches) * each < 1.7 * quota
+
+
+def test_the_fleets_calls_are_bounded_while_the_counter_is_full() -> None:
+    # Guards against a counter so crowded that it answers nobody.
+    benches = fleet(limiters=10)
+    late = 0
+    for step in range(400):
+        for bench in benches:
+            bench.advance(25 * MS)
+            bench.ask(customer=step, units=2.0, set_size=float(LIMITERS))
+            late += len(bench.unanswered) if step >= 200 else 0
+            while bench.unanswered:
+                bench.counted(0.0, api.Outcome.FULL)
+    assert late < 10 * 5 * 3  # ten limiters, five seconds: a few calls a second each while nobody is heard
+
+
+def test_first_attempts_of_all_limiters_at_a_cold_server_are_bounded() -> None:
+    # Guards against each limiter's first attempt being harmless and their sum pushing a cold server over.
+    benches = fleet(replace(FLEET, has_counter=False), servers=60)
+    cold = entry(61, born_ns=START)
+    for bench in benches:
+        bench.feed(api.ServerList(api.ListKind.DELTA, (cold,)))
+        for n in range(3):
+            bench.ask(customer=n, set_size=float(LIMITERS))
+    sends = [send.server for bench in benches for send in bench.sent.values()]
+    assert len(sends) > LIMITERS and sends.count(cold.server) < LIMITERS / 4
+
+
+def test_limiters_begin_with_a_limit_that_the_servers_bear_together() -> None:
+    # Guards against some hundred limiters with as many attempts out each as there are servers.
+    settings = replace(FLEET, has_counter=False, plans=(replace(SMALL, rate=1e6, burst=1e6),))
+    benches = fleet(settings)
+    for _ in range(100):
+        for bench in benches:
+            bench.ask()
+            bench.advance(20 * MS)
+    assert passed(benches) < 20 * 20  # twenty servers that never answer: no more than twenty out at each
+
+
+def test_a_server_full_for_one_plan_still_serves_the_other() -> None:
+    plans = (SETTINGS.plans[0], replace(SETTINGS.plans[0], price=2.0))
+    bench = Bench(replace(SETTINGS, plans=plans), servers=1)
+    turned = bench.ask(customer=1)
+    bench.end(turned, api.Outcome.FULL)
+    assert isinstance(bench.finals[turned], api.Refuse)  # no tour of servers: there is no other
+    assert not bench.was_sent(bench.ask(customer=1))
+    assert bench.was_sent(bench.ask(customer=2, plan=1))
+    bench.advance(3 * SECOND)
+    assert bench.was_sent(bench.ask(customer=1))
+
+
+def test_full_answers_do_not_cut_the_limit() -> None:
+    bench = Bench()
+    before = bench.limiter.limit
+    for n in range(20):
+        bench.end(bench.ask(customer=n), api.Outcome.FULL)
+    assert bench.limiter.limit >= before
+
+
+def test_work_that_cannot_end_in_the_clients_time_is_not_begun() -> None:
+    bench = Bench()
+    for n in range(20):
+        bench.end(bench.ask(customer=n), took_ns=400 * MS)
+    assert isinstance(bench.finals[bench.ask(customer=50, patience_ns=200 * MS)], api.Refuse)
+    assert bench.was_sent(bench.ask(customer=51, patience_ns=SECOND))
+
+
+def test_the_first_caller_of_a_window_hands_on_what_is_missing() -> None:
+    bench = Bench()
+    bench.ask(units=4.0)
+    bench.counted(45.0)  # others have spent the whole burst at the window's very start
+    bench.advance(5 * SECOND)  # into the next window
+    bench.ask(units=4.0)
+    bench.counted(bench.unanswered[0].amount)  # nobody else has called yet
+    assert bench.limiter.customers[1].unreported > 10
+
+
+def test_hundreds_of_servers_and_absurd_sets_raise_nothing() -> None:
+    bench = Bench(replace(FLEET, index=119), servers=250)
+    for size in (0.0, -3.0, 1e9):
+        for n in range(50):
+            bench.ask(customer=n, set_size=size)
+    assert bench.sent
+
+
+def test_a_counter_that_is_down_for_long_raises_nothing() -> None:
+    # Guards against a backoff computed from an unbounded number of misses.
+    bench = Bench()
+    for n in range(3000):
+        rid = bench.ask(customer=n, units=12.0)
+        while bench.unanswered:
+            bench.counted(0.0, api.Outcome.TIMEOUT)
+        bench.advance(400 * MS)
+        if bench.was_sent(rid):
+            bench.end(rid)
+    assert len(bench.counts) > 1100
