Add the limiter on real sockets round the module

What is added: the package hookport, one loop that turns sockets into the module's events and its actions into writes. Its clock is Unix time carried on by the monotonic clock, because the module names counts by the clock and all limiters must come to the same names.

Ruled out before building: that the RESP parser allocates what a header merely claims. A header of 10^8 elements left the resident size at 9 MB, one of 4*10^9 raised MemoryError, which is caught.

--- /dev/null
+++ b/hookport/__init__.py
@@ -0,0 +1,1 @@
+"""hookport: a request limiter on real sockets, round the decisions of aniseshed."""
--- /dev/null
+++ b/hookport/config.py
@@ -0,0 +1,95 @@
+"""What a limiter is told at its start: environment and JSON configuration, checked."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from aniseshed import interface as api
+from aniseshed import wire
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why."""
+
+
+@dataclass(slots=True, frozen=True)
+class Names:
+    """Positions in the settings' lists, by name."""
+
+    classes: dict[bytes, int]
+    plans: dict[bytes, int]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    memory_bytes: int
+    sockets: int
+    idle_ns: int  # for which a server keeps an idle connection
+    known: dict[str, Any]
+    names: Names
+    settings: api.Settings
+
+
+def address(text: object, what: str) -> Address:
+    """An IP address and a port as ``host:port``."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
+        raise ConfigError(f"{what} is not an address like 127.0.0.1:6379: {text!r:.60}")
+    return host, int(port)
+
+
+def read(told: Any, environ: Mapping[str, str]) -> Config:
+    """Check a parsed configuration; the environment's addresses win."""
+    if not isinstance(told, dict) or not isinstance(told.get("settings"), dict):
+        raise ConfigError("the configuration is not a JSON object with an object 'settings'")
+    raw: dict[str, Any] = told["settings"]
+    try:
+        settings = wire.read_settings(json.dumps(raw).encode())
+        limits = told.get("limits", {})
+        return Config(
+            name=str(environ.get("PROXY_NAME") or told.get("name") or "hookport"),
+            listen=address(environ.get("PROXY_LISTEN") or told.get("listen"), "PROXY_LISTEN"),
+            discovery=address(environ.get("PROXY_DISCOVERY") or told.get("discovery"), "PROXY_DISCOVERY"),
+            counter=address(told["counter"], "counter") if settings.has_counter else None,
+            seed=int(str(told.get("seed", "0")), 16),
+            memory_bytes=int(float(limits.get("memory_mb", 192)) * (1 << 20)),
+            sockets=int(limits.get("sockets", 1024)),
+            idle_ns=int(raw.get("bounds", {}).get("connIdle", 0)) or 10_000_000_000,
+            known=told.get("known") or {"generation": 0, "reset": True, "instances": []},
+            names=Names(
+                {lane["name"].encode(): n for n, lane in enumerate(raw.get("lanes", ()))},
+                {tier["name"].encode(): n for n, tier in enumerate(raw.get("tiersOfService", ()))},
+                {name: n for n, name in enumerate(raw.get("zones", ()))},
+                {name: n for n, name in enumerate(raw.get("hostTypes", ()))},
+            ),
+            settings=settings,
+        )
+    except KeyError as error:
+        raise ConfigError(f"the configuration lacks {error}") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"the configuration cannot be used: {error}") from error
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the file that ``PROXY_CONFIG`` names."""
+    path = environ.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set: it names the JSON configuration")
+    try:
+        with open(path, "rb") as file:
+            told = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"cannot read the configuration {path}: {error}") from error
+    return read(told, environ)
--- /dev/null
+++ b/hookport/counter.py
@@ -0,0 +1,153 @@
+"""The counter: pipelined calls on one connection, each with exactly one end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+import hiredis
+
+from aniseshed.interface import Outcome
+from hookport import resp
+from hookport.config import Address
+
+log = logging.getLogger("hookport.counter")
+
+STUCK_S = 1.0  # for which a connection may owe its oldest answer before it is taken for dead
+
+
+class Call:
+    __slots__ = ("name", "sent_s", "timer", "words")
+
+    def __init__(self, name: int, words: bytes, sent_s: float) -> None:
+        self.name, self.words, self.sent_s = name, words, sent_s
+        self.timer: asyncio.TimerHandle | None = None  # None once the call has ended
+
+
+class Line(asyncio.Protocol):
+    """One connection and the calls that are out on it, also those past their time-out."""
+
+    def __init__(self, counter: Counter) -> None:
+        self.counter = counter
+        self.out: deque[Call] = deque()
+        self.reader = hiredis.Reader()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=0)  # writes go out at once
+
+    def write(self, call: Call) -> None:
+        self.out.append(call)
+        self.transport.write(call.words)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.reader.feed(data)
+            while (reply := self.reader.gets()) is not False:
+                outcome, total = read(reply)
+                if not self.out or outcome is None:
+                    return self.drop("an answer to no call or of no known form")
+                self.counter.end(self.out.popleft(), outcome, total)
+        except resp.BROKEN as error:
+            return self.drop(f"no RESP: {error}")
+        if self.reader.has_data() and self.reader.len() > resp.LARGEST_MESSAGE:
+            self.drop("an answer without end")
+
+    def drop(self, why: str) -> None:
+        log.warning("closing the connection: %s", why)
+        self.transport.abort()
+        self.connection_lost(None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """What was out may have been added."""
+        if self.counter.line is self:
+            self.counter.line = None
+        while self.out:
+            self.counter.end(self.out.popleft(), Outcome.TIMEOUT)
+
+
+class Counter:
+    """Calls to the counter; each is reported once, in the order in which they were made."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        timeout_s: float,
+        connect_timeout_s: float,
+        ended: Callable[[Call, Outcome, float], None],
+    ) -> None:
+        self.loop, self.address, self.ended = loop, address, ended
+        self.timeout_s, self.connect_timeout_s = timeout_s, connect_timeout_s
+        self.line: Line | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.waiting: deque[Call] = deque()  # for a connection
+
+    def call(self, name: int, amount: float, lifetime_ns: int) -> None:
+        life_ms = max(1, -(-lifetime_ns // 1_000_000))
+        words = resp.pack((b"INCRTTL", b"%d" % name, f"{amount:.6f}".encode(), b"%d" % life_ms))
+        call = Call(name, words, self.loop.time())
+        call.timer = self.loop.call_later(self.timeout_s, self.give_up, call)
+        line = self.line
+        # Guards against waiting for ever on a connection whose other end has vanished without a word.
+        if line and line.out and call.sent_s - line.out[0].sent_s > STUCK_S:
+            line.drop("no answer for long")
+        if line and not line.transport.is_closing():
+            line.write(call)
+        else:
+            self.waiting.append(call)
+            self.connect()
+
+    def connect(self) -> None:
+        if self.opening is None:
+            self.opening = self.loop.create_task(self.open())
+
+    async def open(self) -> None:
+        line = Line(self)
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                await self.loop.create_connection(lambda: line, *self.address)
+        except (OSError, TimeoutError) as error:
+            log.warning("no connection: %s", error or "timed out")
+            self.opening = None
+            while self.waiting:
+                self.end(self.waiting.popleft(), Outcome.CONNECT_FAILED)
+            return
+        self.opening, self.line = None, line
+        while self.waiting:
+            line.write(self.waiting.popleft())
+
+    def end(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
+        """Guards against a late answer being given to another caller: an ended call takes its own."""
+        if call.timer:
+            call.timer.cancel()
+            call.timer = None
+            self.ended(call, outcome, total)
+
+    def give_up(self, call: Call) -> None:
+        """Unanswered in time: what never reached a connection was not added."""
+        unsent = call in self.waiting
+        if unsent:
+            self.waiting.remove(call)
+        self.end(call, Outcome.CONNECT_FAILED if unsent else Outcome.TIMEOUT)
+
+    def close(self) -> None:
+        if self.opening:
+            self.opening.cancel()
+        if self.line:
+            self.line.transport.abort()
+
+
+def read(reply: object) -> tuple[Outcome | None, float]:
+    """A total, or that nothing was added."""
+    if isinstance(reply, hiredis.ReplyError):
+        return Outcome.FULL, 0.0
+    try:
+        total = float(reply) if isinstance(reply, bytes) else math.nan
+    except ValueError:
+        total = math.nan
+    return (Outcome.OK, total) if math.isfinite(total) else (None, 0.0)
--- /dev/null
+++ b/hookport/node.py
@@ -0,0 +1,242 @@
+"""The loop: facts in, ``Limiter.handle``, actions out; timers and the table of open requests."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from aniseshed import interface as api
+from aniseshed.policy import Limiter
+from hookport import resp
+from hookport.clients import Answer, Clients
+from hookport.config import Address, Config
+from hookport.counter import Call, Counter
+from hookport.discovery import Discovery
+from hookport.servers import Attempt, Servers
+
+log = logging.getLogger("hookport.node")
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+MARGIN_MS = 25  # before a client's time runs out: enough for its last answer to be written and arrive
+SPARE_SOCKETS = 64  # for the loop, discovery, the counter and what is just closing
+BODY_PART = 0.25  # of the memory at most for the bodies of open requests
+
+
+class Open:
+    """A request that is owed an answer."""
+
+    __slots__ = ("answer", "attempts", "command", "deadline", "ends_ns", "request_id", "size")
+
+    def __init__(self, request_id: int, command: resp.Command, answer: Answer, ends_ns: int) -> None:
+        self.request_id, self.command, self.answer = request_id, command, answer
+        self.ends_ns, self.attempts = ends_ns, 0
+        self.size = sum(map(len, command.words))
+        self.deadline: asyncio.TimerHandle | None = None
+
+
+class Node:
+    """Joins the module to the sockets; it decides nothing."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        settings = config.settings
+        self.config, self.settings, self.loop = config, settings, loop
+        # The limiters name counts by the clock and servers' starts are Unix times: Unix time, but steady.
+        self.clock_ns = time.time_ns() - time.monotonic_ns()
+        self.limiter = Limiter(settings, config.seed)
+        self.events: deque[api.Event] = deque()
+        self.busy = False
+        self.open: dict[int, Open] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}
+        self.next_id, self.held_bytes = 0, 0
+        most = max(8, (config.sockets - SPARE_SOCKETS) // 2)
+        connect_s = (settings.connect_timeout_ns or SECOND) / SECOND
+        self.clients = Clients(self.take, most)
+        self.servers = Servers(loop, self.attempt_ended, connect_s, config.idle_ns / SECOND, most)
+        self.discovery = Discovery(
+            loop, config.discovery, config.names, self.listed, connect_s, not settings.subscribe
+        )
+        self.counter: Counter | None = None
+        if config.counter:
+            wait_s = settings.counter_timeout_ns / SECOND
+            self.counter = Counter(loop, config.counter, wait_s, connect_s, self.counted)
+        self.doers: dict[type, Callable[[Any], None]] = {
+            api.Send: self.send,
+            api.Refuse: self.refuse,
+            api.Fail: self.fail,
+            api.Cancel: self.cancel,
+            api.SetTimer: self.set_timer,
+            api.Count: self.count,
+            api.Watch: lambda action: self.discovery.subscribe(action.active),
+            api.Log: lambda action: log.info("%s", action.text),
+        }
+
+    async def start(self) -> None:
+        self.discovery.start(self.config.known)
+        if self.counter:
+            self.counter.connect()
+        await self.clients.listen(self.config.listen)
+        log.info("%s serves", self.config.name)
+
+    def close(self) -> None:
+        self.discovery.close()
+        self.servers.close()
+        if self.counter:
+            self.counter.close()
+
+    def now_ns(self) -> int:
+        return time.monotonic_ns() + self.clock_ns
+
+    def feed(self, event: api.Event) -> None:
+        """Hand an event to the module and do what it says; what that brings about waits its turn."""
+        self.events.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    for action in self.limiter.handle(self.now_ns(), event):
+                        self.doers[type(action)](action)
+                except Exception:
+                    # Guards against one event taking all others down: told in full, and the request fails.
+                    log.exception("the module failed on %s", type(event).__name__)
+                    request_id = getattr(event, "request_id", None)
+                    if request_id in self.open:
+                        self.answer(request_id, resp.error("internal error"))
+        finally:
+            self.busy = False
+
+    # From clients
+
+    def take(self, words: list[object], answer: Answer) -> None:
+        command = resp.parse(words, self.config.names, self.settings.classes)
+        full = self.held_bytes > BODY_PART * self.config.memory_bytes
+        if full or len(self.open) >= (self.settings.max_held or 20_000):
+            return answer.give(resp.busy(self.settings.max_retry_after_ns))
+        patience_ns = max(1, command.wait_ms - MARGIN_MS) * MS
+        self.next_id = request_id = (self.next_id + 1) & 0xFFFFFFFF
+        now_ns = self.now_ns()
+        request = Open(request_id, command, answer, now_ns + patience_ns)
+        self.open[request_id] = request
+        self.held_bytes += request.size
+        request.deadline = self.loop.call_later(patience_ns / SECOND, self.overdue, request_id)
+        answer.gone = lambda: self.hung_up(request_id)
+        self.feed(
+            api.Request(
+                request_id=request_id,
+                traffic_class=command.index,
+                plan=command.plan,
+                customer=command.customer,
+                patience_ns=patience_ns,
+                units=command.units,
+                set_size=command.spread,
+                set_start=command.first,
+                repeated=command.repeated,
+            )
+        )
+
+    def forget(self, request_id: int) -> Open | None:
+        request = self.open.pop(request_id, None)
+        if request:
+            self.held_bytes -= request.size
+            if request.deadline:
+                request.deadline.cancel()
+        return request
+
+    def answer(self, request_id: int, reply: bytes) -> None:
+        if request := self.forget(request_id):
+            request.answer.give(reply)
+
+    def hung_up(self, request_id: int) -> None:
+        if self.forget(request_id):
+            self.feed(api.HungUp(request_id))
+
+    def overdue(self, request_id: int) -> None:
+        """The client's time is nearly up: attempts end as timed out, and the module has the last word."""
+        request = self.open[request_id]
+        for number in range(request.attempts):
+            if attempt := self.attempts.get((request_id, number)):
+                self.servers.give_up(attempt, api.Outcome.TIMEOUT)
+        if request_id in self.open:
+            log.warning("a request was still held at its deadline")
+            self.answer(request_id, resp.error("timed out"))
+            self.feed(api.HungUp(request_id))
+
+    # Attempts
+
+    def send(self, action: api.Send) -> None:
+        request = self.open[action.request_id]
+        number, request.attempts = request.attempts, request.attempts + 1
+        now_ns = self.now_ns()
+        until_ns = min(action.until_ns or request.ends_ns, request.ends_ns)
+        payload = request.command.forward(max(1, (until_ns - now_ns) // MS))
+        attempt = Attempt(action.request_id, number, action.server, payload, now_ns)
+        self.attempts[action.request_id, number] = attempt
+        if until_ns < request.ends_ns:
+            wait_s = (until_ns - now_ns) / SECOND
+            attempt.until = self.loop.call_later(wait_s, self.servers.give_up, attempt, api.Outcome.TIMEOUT)
+        self.servers.send(attempt)
+
+    def cancel(self, action: api.Cancel) -> None:
+        if attempt := self.attempts.get((action.request_id, action.attempt)):
+            self.servers.give_up(attempt, api.Outcome.CANCELLED)
+
+    def attempt_ended(self, attempt: Attempt, outcome: api.Outcome, value: bytes) -> None:
+        request_id = attempt.request_id
+        del self.attempts[request_id, attempt.number]
+        if outcome is api.Outcome.OK:
+            self.answer(request_id, resp.bulk(value))
+        self.feed(
+            api.AttemptEnded(
+                request_id=request_id,
+                attempt=attempt.number,
+                server=attempt.server,
+                outcome=outcome,
+                elapsed_ns=self.now_ns() - attempt.sent_ns,
+                concluded=request_id not in self.open,
+                meter=0,
+                settled_units=0,
+                report=(),
+            )
+        )
+
+    # Other actions and facts
+
+    def refuse(self, action: api.Refuse) -> None:
+        self.answer(action.request_id, resp.busy(action.retry_after_ns))
+
+    def fail(self, action: api.Fail) -> None:
+        self.answer(action.request_id, resp.error("failed"))
+
+    def set_timer(self, action: api.SetTimer) -> None:
+        # The loop's timers are in whole milliseconds: rounded up, none fires before its time.
+        wait_s = -(-action.delay_ns // MS) / 1000
+        self.loop.call_later(wait_s, self.feed, api.TimerFired(action.token))
+
+    def count(self, action: api.Count) -> None:
+        if self.counter is None:
+            return self.feed(api.Counted(action.name, api.Outcome.CONNECT_FAILED, 0.0, 0))
+        self.counter.call(action.name, action.amount, action.lifetime_ns)
+
+    def counted(self, call: Call, outcome: api.Outcome, total: float) -> None:
+        elapsed_ns = int((self.loop.time() - call.sent_s) * SECOND)
+        self.feed(api.Counted(call.name, outcome, total, elapsed_ns))
+
+    def listed(self, told: api.ServerList, places: dict[bytes, Address]) -> None:
+        if told.kind in (api.ListKind.FULL, api.ListKind.CACHED):
+            for server in [s for s in self.servers.addresses if s not in places]:
+                self.servers.addresses.pop(server)
+                self.servers.leave(server)
+        for entry in told.entries:
+            if entry.health is not api.Health.GONE:
+                self.servers.learn(entry.server, places[entry.server])
+        self.feed(told)
+        for entry in told.entries:
+            if entry.health is not api.Health.READY:
+                self.servers.leave(entry.server)
--- /dev/null
+++ b/hookport/servers.py
@@ -0,0 +1,220 @@
+"""Servers: their addresses, warm connections, attempts and how those ended."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import cast
+
+import hiredis
+
+from aniseshed.interface import Outcome
+from hookport import resp
+from hookport.config import Address
+
+log = logging.getLogger("hookport.servers")
+
+IDLE_PART = 0.5  # of the time for which a server keeps an idle connection: ours are closed well before
+
+
+class Attempt:
+    """One command on its way to a server; ``link`` is None until it has a connection."""
+
+    __slots__ = ("link", "number", "opening", "payload", "request_id", "sent_ns", "server", "until")
+
+    def __init__(self, request_id: int, number: int, server: bytes, payload: bytes, sent_ns: int) -> None:
+        self.request_id, self.number, self.server = request_id, number, server
+        self.payload, self.sent_ns = payload, sent_ns
+        self.link: Link | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.until: asyncio.TimerHandle | None = None
+
+
+class Link(asyncio.Protocol):
+    """A connection to a server; it carries one attempt at a time."""
+
+    def __init__(self, servers: Servers, server: bytes) -> None:
+        self.servers, self.server = servers, server
+        self.attempt: Attempt | None = None
+        self.reader = hiredis.Reader()
+        self.unparsed = 0
+        self.written = False  # whether the attempt's last byte has gone to the network
+        self.idle_s = 0.0  # since when it is idle
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        # With a limit of zero a write goes out at once, and what could not go out is told by pause_writing.
+        self.transport.set_write_buffer_limits(high=0)
+
+    def start(self, attempt: Attempt) -> None:
+        self.attempt, attempt.link = attempt, self
+        self.transport.write(attempt.payload)
+        # Guards against taking a buffered or failed write for a sent one: such an attempt never ran.
+        self.written = not self.transport.is_closing() and self.transport.get_write_buffer_size() == 0
+
+    def resume_writing(self) -> None:
+        self.written = not self.transport.is_closing()
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None:
+            log.warning("%s sent %d bytes unasked", self.server.decode(), len(data))
+            return self.transport.abort()
+        try:
+            self.reader.feed(data)
+            reply = self.reader.gets()
+        except resp.BROKEN as error:
+            return self.garbage(f"no RESP: {error}")
+        if reply is False:
+            self.unparsed += len(data)
+            if self.unparsed > resp.LARGEST_MESSAGE:
+                self.garbage("an answer without end")
+            return
+        self.unparsed = 0
+        attempt, self.attempt = self.attempt, None
+        if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
+            outcome, value = Outcome.OK, reply[0]
+        elif isinstance(reply, hiredis.ReplyError):
+            busy = str(reply).split(" ", 1)[0] == "BUSY"
+            outcome, value = (Outcome.FULL if busy else Outcome.ERROR), b""
+        else:
+            self.attempt = attempt
+            return self.garbage("an answer of no known form")
+        if self.reader.has_data() or not self.written:
+            log.warning("%s sent more than an answer", self.server.decode())
+            self.transport.abort()
+        else:
+            self.servers.rest(self)
+        self.servers.finish(attempt, outcome, value)
+
+    def garbage(self, why: str) -> None:
+        """Guards against an answer that cannot be read: the attempt may have run, the connection is lost."""
+        log.warning("%s: %s", self.server.decode(), why)
+        self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.servers.lost(self)
+        if attempt := self.attempt:
+            self.attempt = None
+            self.servers.finish(attempt, Outcome.RESET if self.written else Outcome.CONNECT_FAILED, b"")
+
+
+class Servers:
+    """The pool of connections; it reports each attempt's one end."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        ended: Callable[[Attempt, Outcome, bytes], None],
+        connect_timeout_s: float,
+        idle_s: float,
+        most: int,
+    ) -> None:
+        self.loop, self.ended, self.most = loop, ended, most
+        self.connect_timeout_s, self.idle_s = connect_timeout_s, idle_s * IDLE_PART
+        self.addresses: dict[bytes, Address] = {}
+        self.links: dict[Link, None] = {}
+        self.idle: dict[bytes, list[Link]] = {}  # warmest last
+        self.opening: dict[Attempt, None] = {}
+        self.sweeper: asyncio.TimerHandle | None = None
+
+    def learn(self, server: bytes, address: Address) -> None:
+        if self.addresses.get(server) not in (None, address):
+            self.leave(server)
+        self.addresses[server] = address
+
+    def leave(self, server: bytes) -> None:
+        """Guards against a late connection carrying a new attempt to a server that drains or is gone."""
+        for link in self.idle.pop(server, ()):
+            link.transport.abort()
+        for attempt in [a for a in self.opening if a.server == server]:
+            self.give_up(attempt, Outcome.CONNECT_FAILED)
+
+    def send(self, attempt: Attempt) -> None:
+        idle = self.idle.get(attempt.server)
+        while idle:
+            link = idle.pop()
+            if not link.transport.is_closing() and self.loop.time() - link.idle_s < self.idle_s:
+                return link.start(attempt)
+            link.transport.abort()
+        address = self.addresses.get(attempt.server)
+        if address is None or not self.room():
+            return self.finish(attempt, Outcome.CONNECT_FAILED, b"")
+        self.opening[attempt] = None
+        attempt.opening = self.loop.create_task(self.open(attempt, address))
+
+    def room(self) -> bool:
+        """Guards against running out of descriptors: the longest idle connection makes room."""
+        if len(self.links) + len(self.opening) < self.most:
+            return True
+        coldest = min((i[0] for i in self.idle.values() if i), key=lambda link: link.idle_s, default=None)
+        if coldest:
+            self.idle[coldest.server].remove(coldest)
+            coldest.transport.abort()
+        return coldest is not None
+
+    async def open(self, attempt: Attempt, address: Address) -> None:
+        link = Link(self, attempt.server)
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                await self.loop.create_connection(lambda: link, *address)
+        except (OSError, TimeoutError):
+            if attempt in self.opening:
+                self.give_up(attempt, Outcome.CONNECT_FAILED)
+            return
+        self.links[link] = None
+        if attempt in self.opening:
+            del self.opening[attempt]
+            link.start(attempt)
+        else:
+            self.rest(link)
+
+    def finish(self, attempt: Attempt, outcome: Outcome, value: bytes) -> None:
+        attempt.link = None
+        if attempt.until:
+            attempt.until.cancel()
+        self.ended(attempt, outcome, value)
+
+    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Wait no longer; what was never written whole has never run."""
+        if attempt in self.opening:
+            del self.opening[attempt]
+            if attempt.opening:
+                attempt.opening.cancel()
+            never_ran = True
+        elif link := attempt.link:
+            link.attempt, never_ran = None, not link.written
+            link.transport.abort()
+        else:
+            return
+        late = outcome is Outcome.TIMEOUT and never_ran
+        self.finish(attempt, Outcome.CONNECT_FAILED if late else outcome, b"")
+
+    def rest(self, link: Link) -> None:
+        link.idle_s = self.loop.time()
+        self.idle.setdefault(link.server, []).append(link)
+        if self.sweeper is None:
+            self.sweeper = self.loop.call_later(self.idle_s, self.sweep)
+
+    def sweep(self) -> None:
+        """Close what has been idle for long; runs only while something is idle."""
+        before = self.loop.time() - self.idle_s
+        for links in self.idle.values():
+            while links and links[0].idle_s <= before:
+                links.pop(0).transport.abort()
+        left = any(self.idle.values())
+        self.sweeper = self.loop.call_later(self.idle_s / 4, self.sweep) if left else None
+
+    def lost(self, link: Link) -> None:
+        self.links.pop(link, None)
+        if link in (idle := self.idle.get(link.server, [])):
+            idle.remove(link)
+
+    def close(self) -> None:
+        if self.sweeper:
+            self.sweeper.cancel()
+        for attempt in list(self.opening):
+            if attempt.opening:
+                attempt.opening.cancel()
+        for link in list(self.links):
+            link.transport.abort()
