--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -158,11 +158,13 @@
         self.done = asyncio.Event()
         self.server: asyncio.Server | None = None
 
-    async def listen(self, address: Address) -> None:
+    async def listen(self, address: Address) -> Address:
+        """Start to accept; returns the address, with the port that a zero was made into."""
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             lambda: Connection(self), *address, family=socket.AF_INET, backlog=BACKLOG
         )
+        return cast(Address, self.server.sockets[0].getsockname())
 
     def admit(self, connection: Connection) -> None:
         """Guards against running out of descriptors: the oldest connection between requests makes room."""
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -79,8 +79,8 @@
         self.discovery.start(self.config.known)
         if self.counter:
             self.counter.connect()
-        await self.clients.listen(self.config.listen)
-        log.info("%s serves", self.config.name)
+        host, port = await self.clients.listen(self.config.listen)
+        log.info("%s serves on %s:%d", self.config.name, host, port)
 
     def close(self) -> None:
         self.discovery.close()
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,501 @@
+"""Where real sockets bite: each test guards against one way to lose, repeat or mistake something."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import hiredis
+import pytest
+import uvloop
+from world import (
+    VALUE,
+    Stub,
+    World,
+    change,
+    hold,
+    never,
+    query,
+    reset,
+    row,
+    saying,
+    serve,
+    submit,
+    until,
+)  # fmt: skip
+
+from aniseshed.interface import Outcome
+from hookport import clients, counter, discovery
+from hookport.servers import Attempt, Link
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    uvloop.run(scenario())  # type: ignore[arg-type]
+
+
+def sent(world: World) -> list[list[bytes]]:
+    return [words for stub in world.stubs for words in stub.commands]
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        (b"SVC.QUERY",),
+        query()[:3],
+        (*query(), b"body"),
+        submit()[:4],
+        (b"SVC.QUERY", *submit()[1:4]),
+        (*submit()[:3], query()[3], b"body"),
+        (b"SVC.QUERY", b"xyz", *query()[2:]),
+        (b"SVC.QUERY", b"%016x" % (1 << 33), *query()[2:]),
+        (b"SVC.QUERY", b"-000000000000001", *query()[2:]),
+        (*query()[:2], b"", query()[3]),
+        query(wait_ms=0),
+        query(wait_ms=10**15),
+        query(more=b",units=2"),
+        query(more=b",nonsense"),
+        (*query()[:3], query()[3].replace(b"units=1", b"units=nan")),
+        (*query()[:3], query()[3].replace(b"units=1", b"units=x")),
+        (*query()[:3], query()[3].replace(b"spread=1", b"spread=0")),
+        (*query()[:3], query()[3].replace(b"c=lookup", b"c=nothing")),
+        (*query()[:3], query()[3].replace(b"t=team,", b"")),
+        submit(body=b"x" * (64 * 1024 + 1)),
+        (b"HELLO", b"3"),
+    ],
+)
+def test_a_malformed_command_is_an_error_and_reaches_no_server(words: tuple[bytes, ...]) -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            assert str(await client.ask(*words)).startswith("ERR ")
+            assert not sent(world)
+            assert await client.ask(*query()) == b"value"
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("noise", [b"GET / HTTP/1.1\r\n\r\n", b"*-7\r\n", b"*4000000000\r\n", b"$-9\r\n"])
+def test_a_stream_that_is_no_resp_is_closed_after_what_was_asked_before(noise: bytes) -> None:
+    async def scenario() -> None:
+        async with World(hold) as world:
+            client = await (await world.start()).client()
+            client.send(*query())
+            client.writer.write(noise)
+            await until(lambda: sent(world))
+            world.stubs[0].release.set()
+            assert await client.answer() == b"value"
+            assert str(await client.answer()) == "ERR Protocol error"
+            with pytest.raises(EOFError):
+                await client.answer()
+            assert await (await world.client()).ask(*query(2)) == b"value"
+
+    run(scenario)
+
+
+def test_a_command_without_end_is_cut_off() -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            client.writer.write(b"*4\r\n$99999999\r\n" + b"x" * (1 << 20))
+            with pytest.raises(EOFError):
+                while True:
+                    await client.answer()
+
+    run(scenario)
+
+
+def test_what_goes_on_to_a_server_is_the_same_but_for_the_wait() -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            asked = submit(body=b"x" * 65536)
+            assert await client.ask(*asked[:3], asked[3] + b",k=55,r=1", asked[4]) == b"value"
+            (words,) = sent(world)
+            assert words[:3] == list(asked[:3]) and words[4] == asked[4]
+            before, after = asked[3].split(b"3000")
+            assert words[3].startswith(before) and words[3].endswith(after + b",k=55,r=1")
+            assert 0 < int(words[3][len(before) :].split(b",")[0]) < 3000
+
+    run(scenario)
+
+
+def test_answers_come_in_the_order_of_the_commands() -> None:
+    async def scenario() -> None:
+        async with World(hold, hold) as world:
+            client = await (await world.start()).client()
+            client.send(*query(1))
+            client.send(b"PING")
+            client.send(*query(2, customer=8))
+            await until(lambda: len(sent(world)) == 2)
+            for stub in world.stubs:
+                stub.release.set()
+            assert [await client.answer() for _ in range(3)] == [b"value", b"PONG", b"value"]
+
+    run(scenario)
+
+
+def test_a_warm_connection_is_used_again_and_one_that_ended_is_not() -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            stub = world.stubs[0]
+            for n in range(5):
+                assert await client.ask(*submit(n)) == b"value"
+            assert len(stub.writers) == 1
+            assert world.node
+            stub.writers[0].close()
+            await until(lambda: world.node and not world.node.servers.links)
+            assert await client.ask(*submit(9)) == b"value"
+            assert len(stub.writers) == 2 and len(stub.commands) == 6
+
+    run(scenario)
+
+
+def test_a_break_after_the_request_was_written_may_have_run() -> None:
+    # Guards against an unsafe request being sent again, or refused, after its connection broke.
+    async def scenario() -> None:
+        async with World(reset, reset) as world:
+            client = await (await world.start()).client()
+            assert str(await client.ask(*submit())) == "ERR failed"
+            assert len(sent(world)) == 1
+
+    run(scenario)
+
+
+def test_a_refused_connection_never_ran_and_is_tried_elsewhere() -> None:
+    async def scenario() -> None:
+        async with World(serve, serve) as world:
+            world.stubs[0].die()
+            client = await (await world.start()).client()
+            for n in range(4):
+                assert await client.ask(*submit(n)) == b"value"
+            assert len(world.stubs[1].commands) == 4
+
+    run(scenario)
+
+
+class HalfWritten:
+    """A transport that takes a part of what is written."""
+
+    def __init__(self) -> None:
+        self.left, self.closing = 100, False
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        assert high == 0
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return self.left
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def abort(self) -> None:
+        self.closing = True
+
+
+@pytest.mark.parametrize(("drained", "outcome"), [(False, Outcome.CONNECT_FAILED), (True, Outcome.RESET)])
+def test_what_lies_in_a_buffer_is_not_written(drained: bool, outcome: Outcome) -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            await world.start()
+            assert world.node
+            ends: list[Outcome] = []
+            servers = world.node.servers
+            servers.ended = lambda attempt, how, value: ends.append(how)
+            link, transport = Link(servers, b"s-0"), HalfWritten()
+            link.connection_made(transport)  # type: ignore[arg-type]
+            link.start(Attempt(1, 0, b"s-0", b"payload", 0))
+            if drained:
+                transport.left = 0
+                link.resume_writing()
+            link.connection_lost(None)
+            assert ends == [outcome]
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "text", [b"what is this\r\n", b"+OK\r\n", b":5\r\n", b"*1\r\n$-1\r\n", b"*0\r\n", b"*900000000000\r\n"]
+)
+def test_garbage_from_a_server_ends_the_attempt_and_its_connection(text: bytes) -> None:
+    async def scenario() -> None:
+        async with World(saying(text)) as world:
+            client = await (await world.start()).client()
+            assert str(await client.ask(*submit())) == "ERR failed"
+            await until(lambda: world.stubs[0].closed == 1)
+            world.stubs[0].handler = serve
+            assert await client.ask(*submit(2)) == b"value"
+
+    run(scenario)
+
+
+def test_more_than_an_answer_is_not_given_to_the_next_request() -> None:
+    async def scenario() -> None:
+        async with World(saying(VALUE + VALUE.replace(b"value", b"other"))) as world:
+            client = await (await world.start()).client()
+            for n in range(3):
+                assert await client.ask(*submit(n)) == b"value"
+            assert len(world.stubs[0].writers) == 3
+
+    run(scenario)
+
+
+def test_a_server_that_turns_away_leads_to_another_or_to_a_refusal() -> None:
+    async def scenario() -> None:
+        async with World(saying(b"-BUSY\r\n"), serve) as world:
+            client = await (await world.start()).client()
+            for n in range(4):
+                assert await client.ask(*submit(n)) == b"value"
+        async with World(saying(b"-BUSY\r\n")) as world:
+            client = await (await world.start()).client()
+            assert str(await client.ask(*submit())).startswith("BUSY")
+
+    run(scenario)
+
+
+def test_a_silent_server_costs_an_answer_in_time_and_its_connection() -> None:
+    async def scenario() -> None:
+        async with World(never) as world:
+            client = await (await world.start()).client()
+            assert str(await client.ask(*submit(wait_ms=300))) == "ERR failed"
+            await until(lambda: world.stubs[0].closed == 1)
+            assert world.node and not world.node.open and not world.node.attempts
+
+    run(scenario)
+
+
+def test_a_client_that_goes_away_frees_what_it_held() -> None:
+    async def scenario() -> None:
+        async with World(hold) as world:
+            client = await (await world.start()).client()
+            client.send(*submit())
+            await until(lambda: sent(world))
+            client.writer.close()
+            assert world.node
+            node = world.node
+            await until(lambda: not node.open and not node.attempts and not node.servers.links)
+            assert node.held_bytes == 0 and not node.clients.connections
+
+    run(scenario)
+
+
+def test_a_module_that_raises_is_told_and_fails_the_request(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            assert world.node
+            handlers = world.node.limiter.handlers
+            right = dict(handlers)
+            handlers.update({kind: lambda event: 1 // 0 for kind in handlers})
+            assert str(await client.ask(*query())) == "ERR internal error"
+            assert "ZeroDivisionError" in caplog.text
+            handlers.update(right)
+            assert await client.ask(*query(2)) == b"value"
+
+    run(scenario)
+
+
+def test_a_late_answer_of_the_counter_is_not_given_to_the_next_caller() -> None:
+    async def scenario() -> None:
+        stub = await Stub(never).start()
+        ends: list[tuple[int, Outcome, float]] = []
+        loop = asyncio.get_running_loop()
+        calls = counter.Counter(
+            loop, ("127.0.0.1", stub.port), 0.05, 5.0, lambda c, how, total: ends.append((c.name, how, total))
+        )
+        calls.connect()
+        await until(lambda: calls.line)
+        calls.call(1, 1.0, 10**9)
+        await until(lambda: ends and len(stub.commands) == 1)
+        calls.timeout_s = 20.0
+        calls.call(2, -2.5, 10**9)
+        await until(lambda: len(stub.commands) == 2)
+        assert stub.commands[1] == [b"INCRTTL", b"2", b"-2.500000", b"1000"]
+        stub.writers[0].write(b"$1\r\n1\r\n$3\r\n2.5\r\n")
+        await until(lambda: len(ends) == 2)
+        assert ends == [(1, Outcome.TIMEOUT, 0.0), (2, Outcome.OK, 2.5)]
+        # nothing added and may have been added are told apart
+        stub.handler = saying(b"-BUSY\r\n")
+        calls.call(3, 1.0, 10**9)
+        await until(lambda: len(ends) == 3)
+        for text in (b"$3\r\nabc\r\n", b"nonsense\r\n", b"$3\r\nnan\r\n", b"*1\r\n:1\r\n"):
+            stub.handler = saying(text)
+            calls.call(4, 1.0, 10**9)
+            await until(lambda: ends[-1][0] == 4)
+            assert ends.pop()[1] is Outcome.TIMEOUT
+        stub.die()
+        await until(lambda: calls.line is None)
+        calls.call(5, 1.0, 10**9)
+        await until(lambda: len(ends) == 4)
+        assert [how for _, how, _ in ends[2:]] == [Outcome.FULL, Outcome.CONNECT_FAILED]
+        calls.close()
+
+    run(scenario)
+
+
+def test_a_connection_to_a_counter_that_went_silent_is_replaced(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(counter, "STUCK_S", 0.0)
+        stub = await Stub(never).start()
+        ends: list[Outcome] = []
+        loop = asyncio.get_running_loop()
+        calls = counter.Counter(
+            loop, ("127.0.0.1", stub.port), 20.0, 5.0, lambda call, how, total: ends.append(how)
+        )
+        calls.call(1, 1.0, 10**9)
+        await until(lambda: stub.commands)
+        stub.handler = saying(b"$1\r\n7\r\n")
+        calls.call(1, 1.0, 10**9)
+        await until(lambda: len(ends) == 2)
+        assert ends == [Outcome.TIMEOUT, Outcome.OK]
+        calls.close()
+        stub.die()
+
+    run(scenario)
+
+
+def test_a_drain_is_passed_on_and_a_change_is_no_whole_list() -> None:
+    async def scenario() -> None:
+        async with World(serve, serve) as world:
+            client = await (await world.start()).client()
+            first, second = world.stubs
+            await until(lambda: world.discovery.watches)
+            assert b"GET /v1/endpoints?stream=1&index=1 " in world.discovery.requests[0]
+            world.discovery.push(b"")
+            world.discovery.push(change(2, row("s-0", first.port, "DRAINING")))
+            assert world.node
+            servers = world.node.limiter.servers
+            await until(lambda: servers[b"s-0"].entry.health == 2)
+            first.commands.clear()
+            for n in range(6):
+                assert await client.ask(*query(n, customer=n)) == b"value"
+            assert not first.commands and len(second.commands) == 6
+            world.discovery.push(change(3, row("s-0", first.port, started=1_800_000_000_000), whole=True))
+            await until(lambda: b"s-1" not in servers)
+            assert servers[b"s-0"].born_ns == 1_800_000_000_000 * 10**6
+            assert list(world.node.servers.addresses) == [b"s-0"]
+
+    run(scenario)
+
+
+def test_an_attempt_whose_connection_is_not_up_ends_with_its_servers_drain() -> None:
+    # Guards against a connection that comes up late carrying a new request to a draining server.
+    async def scenario() -> None:
+        async with World(serve, serve) as world:
+            await world.start()
+            assert world.node
+            client = await world.client()
+            servers, node = world.node.servers, world.node
+            gate = asyncio.Event()
+            open_link = servers.open
+
+            async def slow_open(attempt: Attempt, address: tuple[str, int]) -> None:
+                await gate.wait()
+                await open_link(attempt, address)
+
+            servers.open = slow_open  # type: ignore[method-assign]
+            client.send(*submit())
+            await until(lambda: servers.opening)
+            (attempt,) = servers.opening
+            drained = world.stubs[int(attempt.server[2:])]
+            node.listed(*discovery.read_list(
+                {"generation": 2, "reset": False,
+                 "instances": [row(attempt.server.decode(), drained.port, "DRAINING")]},
+                node.config.names, discovery.ListKind.FULL)[1:])  # fmt: skip
+            gate.set()
+            assert await client.answer() == b"value"
+            assert not drained.commands
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "line", [b"{", b"[]", b'{"generation":2,"reset":false,"instances":[{}]}', b"\xff\xfe"]
+)
+def test_garbage_from_discovery_ends_the_watch_and_asks_for_the_whole_list(line: bytes) -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            await until(lambda: world.discovery.watches)
+            world.discovery.push(line)
+            await until(lambda: len(world.discovery.requests) == 2)
+            assert b"index=0 " in world.discovery.requests[1]
+            assert await client.ask(*query()) == b"value"
+
+    run(scenario)
+
+
+def test_a_watch_that_ends_or_falls_silent_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            monkeypatch.setattr(discovery, "SILENCE_S", 0.05)
+            await world.start()
+            await until(lambda: len(world.discovery.watches) >= 2)  # the first said nothing
+            monkeypatch.setattr(discovery, "SILENCE_S", 60.0)
+            count = len(world.discovery.watches)
+            world.discovery.watches[-1].close()
+            await until(lambda: len(world.discovery.watches) > count)
+
+    run(scenario)
+
+
+def test_a_client_that_does_not_read_is_not_read_either() -> None:
+    async def scenario() -> None:
+        async with World(saying(b"*3\r\n$60000\r\n" + b"v" * 60000 + b"\r\n$-1\r\n$-1\r\n")) as world:
+            client = await (await world.start()).client()
+            transport = client.writer.transport
+            transport.pause_reading()  # type: ignore[attr-defined]
+            assert world.node
+            asked = 0
+
+            def settled() -> bool:
+                connection = connection_of(world)
+                return connection.stopped_reading or (len(sent(world)) == asked and not connection.answers)
+
+            await until(lambda: world.node and world.node.clients.connections)
+            while not connection_of(world).stopped_reading:
+                client.send(*query(asked))
+                asked += 1
+                await until(settled)
+            assert asked > 1 and connection_of(world).transport.get_write_buffer_size() < 4 << 20
+            client.send(*query(asked))
+            transport.resume_reading()  # type: ignore[attr-defined]
+            assert {len(await client.answer()) for _ in range(asked + 1)} == {60000}
+
+    run(scenario)
+
+
+def connection_of(world: World) -> clients.Connection:
+    assert world.node
+    (connection,) = world.node.clients.connections
+    return connection
+
+
+def test_descriptors_are_bounded() -> None:
+    async def scenario() -> None:
+        async with World(serve, serve) as world:
+            await world.start()
+            assert world.node
+            world.node.clients.most = 4
+            first = [await world.client() for _ in range(4)]
+            for client in first:
+                assert await client.ask(b"PING") == b"PONG"
+            fifth = await world.client()
+            assert await fifth.ask(*query()) == b"value"
+            with pytest.raises(EOFError):
+                await first[0].answer()
+            await until(lambda: world.node and len(world.node.clients.connections) == 4)
+            # the one idle connection to a server makes room for one to another
+            servers = world.node.servers
+            (old,) = servers.links
+            servers.most = 1
+            other = next(n for n in range(2) if old.server != b"s-%d" % n)
+            servers.send(attempt := Attempt(9, 0, b"s-%d" % other, hiredis.pack_command(query(2)), 0))
+            servers.ended = lambda *ended: ends.append(ended)
+            ends: list[tuple[Attempt, Outcome, bytes]] = []
+            await until(lambda: ends)
+            assert ends == [(attempt, Outcome.OK, b"value")] and old not in servers.links
+            assert len(servers.links) == 1
+
+    run(scenario)
