Answer all that is held at SIGTERM before the process may be killed

Cause: a try's wait may be the whole of its class's give-up time, 4 s here, while SIGKILL may follow SIGTERM after 3.7 s; what it finds unanswered is lost. A stopping limiter now ends what is left after the longest deadline (3 s at most) and 0.4 s; a test holds a request of an hour's wait and fails without it.

--- a/hookport/__main__.py
+++ b/hookport/__main__.py
@@ -46,7 +46,7 @@
     loop.set_exception_handler(stray)
     node = Node(config, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.clients.shut_down)
+        loop.add_signal_handler(number, node.shut_down)
     await node.start()
     gc.collect()
     gc.freeze()  # what lives as long as the process is not walked again
--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -181,9 +181,8 @@
 
     def shut_down(self) -> None:
         """SIGTERM: connections come for a while yet; then answer what is held, and end."""
-        if not self.closing:
-            log.info("shutting down")
-            asyncio.get_running_loop().call_later(STILL_COMING_S, self.drain)
+        log.info("shutting down")
+        asyncio.get_running_loop().call_later(STILL_COMING_S, self.drain)
 
     def drain(self) -> None:
         self.closing = True
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -24,6 +24,8 @@
 SECOND = 1_000_000_000
 MARGIN_MS = 25  # before a client's time runs out: enough for its last answer to be written and arrive
 SPARE_SOCKETS = 64  # for the loop, discovery, the counter and what is just closing
+KILL_AFTER_NS = 3 * SECOND  # after SIGTERM, or the longest deadline if that is shorter, SIGKILL may come
+KILL_GRACE_S = 0.4  # of the 0.7 s more that are granted then: the rest is for the answers to arrive
 BODY_PART = 0.25  # of the memory at most for the bodies of open requests
 
 
@@ -51,6 +53,7 @@
         self.grammar = resp.Grammar(config.names, settings.classes)
         self.events: deque[api.Event] = deque()
         self.busy = False
+        self.stopping: asyncio.TimerHandle | None = None
         self.open: dict[int, Open] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.next_id, self.held_bytes = 0, 0
@@ -84,11 +87,27 @@
         log.info("%s serves on %s:%d", self.config.name, host, port)
 
     def close(self) -> None:
+        if self.stopping:
+            self.stopping.cancel()
         self.discovery.close()
         self.servers.close()
         if self.counter:
             self.counter.close()
 
+    def shut_down(self) -> None:
+        """SIGTERM: take what still comes, and answer all before the process may be killed."""
+        if self.stopping is None:
+            longest_ns = max((kind.deadline_ns for kind in self.settings.classes), default=0)
+            wait_s = min(longest_ns, KILL_AFTER_NS) / SECOND + KILL_GRACE_S
+            self.stopping = self.loop.call_later(wait_s, self.answer_all)
+            self.clients.shut_down()
+
+    def answer_all(self) -> None:
+        """Guards against requests whose clients would wait longer than this process is let live."""
+        for request_id in list(self.open):
+            if request_id in self.open:
+                self.overdue(request_id)
+
     def now_ns(self) -> int:
         return time.monotonic_ns() + self.clock_ns
 
@@ -160,7 +179,7 @@
             self.feed(api.HungUp(request_id))
 
     def overdue(self, request_id: int) -> None:
-        """The client's time is nearly up: attempts end as timed out, and the module has the last word."""
+        """No more time: attempts end as timed out, and the module has the last word."""
         request = self.open[request_id]
         for number in range(request.attempts):
             if attempt := self.attempts.get((request_id, number)):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -23,7 +23,7 @@
 )  # fmt: skip
 
 from aniseshed.interface import Outcome
-from hookport import clients, counter, discovery
+from hookport import clients, counter, discovery, node
 from hookport.servers import Attempt, Link
 
 
@@ -268,6 +268,37 @@
     run(scenario)
 
 
+def test_what_is_held_at_sigterm_is_answered_before_the_kill(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a request whose deadline lies beyond the time that a stopping process is let live.
+    async def scenario() -> None:
+        monkeypatch.setattr(node, "KILL_AFTER_NS", 0)
+        async with World(never) as world:
+            client = await (await world.start()).client()
+            client.send(*submit(wait_ms=3_600_000))
+            await until(lambda: sent(world))
+            assert world.node
+            world.node.shut_down()
+            world.node.shut_down()
+            assert str(await client.answer()) == "ERR failed"
+            await until(lambda: world.node and world.node.clients.done.is_set())
+
+    run(scenario)
+
+
+def test_connections_long_idle_are_closed_and_the_sweep_ends_with_them() -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            assert world.node
+            servers = world.node.servers
+            servers.idle_s = 0.05
+            assert await client.ask(*query()) == b"value"
+            await until(lambda: world.stubs[0].closed == 1)
+            await until(lambda: servers.sweeper is None and not servers.links)
+
+    run(scenario)
+
+
 def test_a_client_that_goes_away_frees_what_it_held() -> None:
     async def scenario() -> None:
         async with World(hold) as world:
@@ -276,9 +307,9 @@
             await until(lambda: sent(world))
             client.writer.close()
             assert world.node
-            node = world.node
-            await until(lambda: not node.open and not node.attempts and not node.servers.links)
-            assert node.held_bytes == 0 and not node.clients.connections
+            limiter = world.node
+            await until(lambda: not limiter.open and not limiter.attempts and not limiter.servers.links)
+            assert limiter.held_bytes == 0 and not limiter.clients.connections
 
     run(scenario)
 
@@ -389,7 +420,7 @@
             await world.start()
             assert world.node
             client = await world.client()
-            servers, node = world.node.servers, world.node
+            servers, limiter = world.node.servers, world.node
             gate = asyncio.Event()
             open_link = servers.open
 
@@ -402,10 +433,10 @@
             await until(lambda: servers.opening)
             (attempt,) = servers.opening
             drained = world.stubs[int(attempt.server[2:])]
-            node.listed(*discovery.read_list(
+            limiter.listed(*discovery.read_list(
                 {"generation": 2, "reset": False,
                  "instances": [row(attempt.server.decode(), drained.port, "DRAINING")]},
-                node.config.names, discovery.ListKind.FULL)[1:])  # fmt: skip
+                limiter.config.names, discovery.ListKind.FULL)[1:])  # fmt: skip
             gate.set()
             assert await client.answer() == b"value"
             assert not drained.commands
