Trust no warm connection after a server's restart or a time-out

Cause: the protocol lets a machine vanish in silence and reset old connections when it is back. A request written to such a connection times out or is reset, and then may have run, so that a claim fails for good; on a new connection it would have been known never to have run and gone elsewhere. At fault was the pool, which kept warm connections whatever discovery or a time-out said of their server. A known list that cannot be read no longer stops the start either.

--- a/hookport/discovery.py
+++ b/hookport/discovery.py
@@ -115,7 +115,11 @@
 
     def start(self, known: dict[str, Any]) -> None:
         """Begin with the list from the configuration, which may be old."""
-        self.generation, listed, places = read_list(known, self.names, ListKind.CACHED)
+        try:
+            self.generation, listed, places = read_list(known, self.names, ListKind.CACHED)
+        except ValueError as error:
+            log.warning("the known list cannot be used: %s", error)
+            listed, places = ServerList(ListKind.CACHED, ()), {}
         self.told(ServerList(ListKind.CACHED, listed.entries), places)
         if self.follow:
             self.subscribe(True)
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -252,12 +252,13 @@
     def listed(self, told: api.ServerList, places: dict[bytes, Address]) -> None:
         if told.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             for server in [s for s in self.servers.addresses if s not in places]:
-                self.servers.addresses.pop(server)
-                self.servers.leave(server)
+                self.servers.forget(server)
         for entry in told.entries:
             if entry.health is not api.Health.GONE:
-                self.servers.learn(entry.server, places[entry.server])
+                self.servers.learn(entry.server, places[entry.server], entry.born_ns)
         self.feed(told)
         for entry in told.entries:
-            if entry.health is not api.Health.READY:
+            if entry.health is api.Health.GONE:
+                self.servers.forget(entry.server)
+            elif entry.health is api.Health.DRAINING:
                 self.servers.leave(entry.server)
--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -113,20 +113,31 @@
         self.loop, self.ended, self.most = loop, ended, most
         self.connect_timeout_s, self.idle_s = connect_timeout_s, idle_s * IDLE_PART
         self.addresses: dict[bytes, Address] = {}
+        self.born_ns: dict[bytes, int] = {}
         self.links: dict[Link, None] = {}
         self.idle: dict[bytes, list[Link]] = {}  # warmest last
         self.opening: dict[Attempt, None] = {}
         self.sweeper: asyncio.TimerHandle | None = None
 
-    def learn(self, server: bytes, address: Address) -> None:
-        if self.addresses.get(server) not in (None, address):
-            self.leave(server)
-        self.addresses[server] = address
+    def learn(self, server: bytes, address: Address, born_ns: int) -> None:
+        """Guards against a request on a connection to where, or to what, the server was before."""
+        if self.addresses.get(server) != address or self.born_ns.get(server) != born_ns:
+            self.cool(server)
+        self.addresses[server], self.born_ns[server] = address, born_ns
 
-    def leave(self, server: bytes) -> None:
-        """Guards against a late connection carrying a new attempt to a server that drains or is gone."""
+    def forget(self, server: bytes) -> None:
+        self.addresses.pop(server, None)
+        self.born_ns.pop(server, None)
+        self.leave(server)
+
+    def cool(self, server: bytes) -> None:
+        """Close the warm connections."""
         for link in self.idle.pop(server, ()):
             link.transport.abort()
+
+    def leave(self, server: bytes) -> None:
+        """Guards against a late connection carrying a new attempt to a server that drains or is gone."""
+        self.cool(server)
         for attempt in [a for a in self.opening if a.server == server]:
             self.give_up(attempt, Outcome.CONNECT_FAILED)
 
@@ -187,8 +198,12 @@
             link.transport.abort()
         else:
             return
-        late = outcome is Outcome.TIMEOUT and never_ran
-        self.finish(attempt, Outcome.CONNECT_FAILED if late else outcome, b"")
+        if outcome is Outcome.TIMEOUT:
+            # Guards against a machine that vanished without a word taking a request on each warm connection;
+            # a new one shows in time that it is gone, and that nothing ran.
+            self.cool(attempt.server)
+            outcome = Outcome.CONNECT_FAILED if never_ran else outcome
+        self.finish(attempt, outcome, b"")
 
     def rest(self, link: Link) -> None:
         link.idle_s = self.loop.time()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -152,6 +152,52 @@
     run(scenario)
 
 
+def test_a_restarted_server_is_not_written_to_on_an_old_connection() -> None:
+    # Guards against the reset of a connection to a machine that came back: its request may have run.
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            assert await client.ask(*submit()) == b"value"
+            await until(lambda: world.discovery.watches)
+            world.discovery.push(change(2, row("s-0", world.stubs[0].port, started=1_700_000_000_000)))
+            await until(lambda: world.stubs[0].closed == 1)
+            assert await client.ask(*submit(2)) == b"value"
+            assert len(world.stubs[0].writers) == 2
+
+    run(scenario)
+
+
+def test_after_a_time_out_no_warm_connection_is_trusted() -> None:
+    # Guards against a machine that vanished in silence swallowing one request for each open connection.
+    async def scenario() -> None:
+        async with World(hold) as world:
+            client = await (await world.start()).client()
+            client.send(*submit(1))
+            client.send(*submit(2))
+            await until(lambda: len(sent(world)) == 2)
+            world.stubs[0].release.set()
+            assert [await client.answer() for _ in range(2)] == [b"value"] * 2
+            world.stubs[0].handler = never
+            assert str(await client.ask(*submit(3, wait_ms=200))) == "ERR failed"
+            await until(lambda: world.stubs[0].closed == 2)
+
+    run(scenario)
+
+
+def test_a_known_list_that_cannot_be_read_leaves_it_to_the_watch() -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            told = world.told()
+            world.told = lambda: {**told, "known": {"instances": 5}}  # type: ignore[method-assign]
+            client = await (await world.start()).client()
+            await until(lambda: world.discovery.watches)
+            world.discovery.push(change(2, row("s-0", world.stubs[0].port), whole=True))
+            await until(lambda: world.node and world.node.limiter.servers)
+            assert await client.ask(*query()) == b"value"
+
+    run(scenario)
+
+
 def test_a_break_after_the_request_was_written_may_have_run() -> None:
     # Guards against an unsafe request being sent again, or refused, after its connection broke.
     async def scenario() -> None:
