Refuse ids, units and sets of no known form

Cause: a server answers a command in a form that no client sends with -SYNTAX, and such a command voids all; the parser let through ids with blanks or line ends, zero units, and sets that are no whole numbers. Found by reading; five new cases of malformed commands fail without it.

--- a/hookport/resp.py
+++ b/hookport/resp.py
@@ -18,6 +18,7 @@
 LONGEST_WAIT_MS = 3_600_000
 MOST_CUSTOMERS = 1 << 33
 FIELDS_KEPT = 4096
+REQUEST_ID = re.compile(rb"[0-9A-Za-z_-]{1,64}").fullmatch
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
 WAIT = re.compile(rb"(|.*,)d=([0-9]{1,9})(|,.*)", re.S).fullmatch
 OK, PONG = b"+OK\r\n", b"+PONG\r\n"
@@ -75,14 +76,22 @@
     return b"-BUSY %d\r\n" % -(-retry_after_ns // 1_000_000) if retry_after_ns > 0 else b"-BUSY\r\n"
 
 
-def number(fields: dict[bytes, bytes], name: bytes, default: float, least: float) -> float:
+def units_of(text: bytes) -> float:
     try:
-        value = float(fields[name]) if name in fields else default
+        units = float(text)
     except ValueError:
-        raise CommandError(f"{name.decode()} is not a number") from None
-    if not math.isfinite(value) or value < least:
-        raise CommandError(f"{name.decode()} is out of range")
-    return value
+        units = math.nan
+    if not 0 < units < math.inf:
+        raise CommandError("units is not a number above 0")
+    return units
+
+
+def whole(fields: dict[bytes, bytes], name: bytes, least: int) -> float:
+    """A whole number; one that is not told is the least."""
+    text = fields.get(name, b"%d" % least)
+    if not text.isdigit() or len(text) > 9 or int(text) < least:
+        raise CommandError(f"{name.decode()} is not a whole number from {least}")
+    return float(text)
 
 
 class Grammar:
@@ -102,8 +111,10 @@
         key = int(customer, 16) if CUSTOMER(customer) else MOST_CUSTOMERS
         if key >= MOST_CUSTOMERS:
             raise CommandError("the customer is not 16 hex digits below 2^33")
-        if not 0 < len(request_id) <= 64 or len(listed) > 1024 or len(texts[-1]) > LARGEST_VALUE:
-            raise CommandError("an argument is too long or empty")
+        if not REQUEST_ID(request_id):
+            raise CommandError("the id is not 1 to 64 letters, digits, - or _")
+        if len(listed) > 1024 or len(texts[-1]) > LARGEST_VALUE:
+            raise CommandError("an argument is too long")
         if not (split := WAIT(listed)) or not 0 < (wait_ms := int(split[2])) <= LONGEST_WAIT_MS:
             raise CommandError("d is not a number of milliseconds")
         before, after = split[1], split[3]
@@ -126,8 +137,8 @@
         return Fields(
             index=index,
             plan=plan,
-            units=number(fields, b"units", 1.0, 0.0),
-            spread=number(fields, b"spread", 1.0, 1.0),
-            first=number(fields, b"first", 0.0, 0.0),
+            units=units_of(fields.get(b"units", b"1")),
+            spread=whole(fields, b"spread", 1),
+            first=whole(fields, b"first", 0),
             repeated=fields.get(b"r") == b"1",
         )
