Take a new configuration at SIGHUP without dropping anything

Nothing handled the signal, whose default ends a process (__main__.serve), and read() let PROXY_DISCOVERY win over a replaced file. Ruled out: keeping calls out at the old counter until answered, since calls of one name would then be answered out of turn; they end at once as perhaps added.

--- a/hookport/__main__.py
+++ b/hookport/__main__.py
@@ -41,12 +41,21 @@
     )
 
 
+def reload(node: Node) -> None:
+    """Guards against a bad file ending what serves: it is told, and the old configuration stays."""
+    try:
+        node.reconfigure(load(os.environ, again=True))
+    except ConfigError as error:
+        logging.getLogger("hookport").error("keeping the old configuration: %s", error)
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(stray)
     node = Node(config, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.shut_down)
+    loop.add_signal_handler(signal.SIGHUP, reload, node)
     await node.start()
     gc.collect()
     gc.freeze()  # what lives as long as the process is not walked again
@@ -55,6 +64,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something that can take a new one
     handler = logging.StreamHandler(sys.stderr)
     handler.addFilter(Bounded())
     handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(name)s %(message)s"))
--- a/hookport/config.py
+++ b/hookport/config.py
@@ -82,8 +82,8 @@
         raise ConfigError(f"the configuration cannot be used: {error}") from error
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read the file that ``PROXY_CONFIG`` names."""
+def load(environ: Mapping[str, str], again: bool = False) -> Config:
+    """Read the file that ``PROXY_CONFIG`` names; when it is read again, its addresses win."""
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set: it names the JSON configuration")
@@ -92,4 +92,7 @@
             told = json.load(file)
     except (OSError, ValueError) as error:
         raise ConfigError(f"cannot read the configuration {path}: {error}") from error
+    if again and isinstance(told, dict) and told.get("discovery"):
+        # Guards against a new file that changes nothing: the environment still tells the first address.
+        environ = {name: value for name, value in environ.items() if name != "PROXY_DISCOVERY"}
     return read(told, environ)
--- a/hookport/counter.py
+++ b/hookport/counter.py
@@ -102,6 +102,22 @@
             self.waiting.append(call)
             self.connect()
 
+    def move(self, address: Address) -> None:
+        """A new configuration: what is out ends now, as it may have been added at the old address.
+
+        Guards against answers out of turn: were it waited for, calls of one name could be answered at the
+        new address before those at the old one."""
+        if address == self.address:
+            return
+        log.info("moving from %s:%d to %s:%d", *self.address, *address)
+        self.address = address
+        if self.opening:
+            self.opening.cancel()
+            self.opening = None
+        if self.line:
+            self.line.drop("the counter has moved")
+        self.connect()
+
     def connect(self) -> None:
         if self.opening is None:
             self.opening = self.loop.create_task(self.open())
--- a/hookport/discovery.py
+++ b/hookport/discovery.py
@@ -124,6 +124,17 @@
         if self.follow:
             self.subscribe(True)
 
+    def move(self, place: Address) -> None:
+        """A new configuration: what is known stays in force until the new place tells its whole list."""
+        if place == self.place:
+            return
+        log.info("moving from %s:%d to %s:%d", *self.place, *place)
+        wanted = self.follow or self.watch is not None
+        self.place, self.again_s = place, AGAIN_S[0]
+        self.generation = 0  # the new place may count its versions in another way
+        if wanted:
+            self.subscribe(True)
+
     def subscribe(self, active: bool) -> None:
         self.close()
         if active:
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -94,6 +94,14 @@
         if self.counter:
             self.counter.close()
 
+    def reconfigure(self, config: Config) -> None:
+        """SIGHUP: go on with what is held, under new addresses; all else holds from start to exit."""
+        self.discovery.move(config.discovery)
+        if self.counter and config.counter:
+            self.counter.move(config.counter)
+        if config.settings != self.settings or config.listen != self.config.listen:
+            log.warning("of a new configuration only discovery and counter count before a restart")
+
     def shut_down(self) -> None:
         """SIGTERM: take what still comes, and answer all before the process may be killed."""
         if self.stopping is None:
