Bound what clients can cost: lengths, time, descriptors, values and ids

The log of what came showed * just before each stand-still; a probe of hiredis takes 1.0 s of CPU to let go of such an array, and the parser has no bound for it. Ruled out as causes: pipelined commands and 60 MB values (one read each). At fault: hiredis.Reader in clients, servers and counter; no time limit on silent and half commands; admit() closed whoever was oldest; break_off() waited for earlier answers; no check of ids. Now a bounded reader, rows of waiting connections with their times, bad commands closed, ids taken once, units, sets and deadlines within the settings. An answer counts as error, refusal or total only in the agreed form, on the servers' and the counter's side too.

--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -5,21 +5,24 @@
 import asyncio
 import logging
 import socket
-from collections import deque
-from collections.abc import Callable
+from collections import Counter, deque
+from collections.abc import Callable, Sequence
 from typing import cast
 
-import hiredis
-
 from hookport import resp
 from hookport.config import Address
 
 log = logging.getLogger("hookport.clients")
 
 BACKLOG = 1024
+MOST_WORDS = 8  # of a command: none has more than five
 MOST_PIPELINED = 64  # unanswered commands of one connection, beyond which it is not read
+MOST_REFUSED = 16  # commands that cannot be used, on a connection that also brought good ones
 MOST_UNREAD = 1 << 20  # bytes of answers that a client has not read, beyond which it is dropped
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for 0.4 s
+LOOK_S = 0.25  # how often connections that have waited long enough are looked for
+SETTLED_S = 0.1  # after which a connection may make room: a new one's first command comes sooner
+TOLD_S = 5.0  # how often the log tells how many were closed, and why
 
 
 class Answer:
@@ -37,17 +40,39 @@
         self.connection.flush()
 
 
+class Row:
+    """Connections that wait for one thing, the longest first, and for how long they may."""
+
+    __slots__ = ("members", "wait_s", "why")
+
+    def __init__(self, wait_s: float, why: str) -> None:
+        self.wait_s, self.why = wait_s, why
+        self.members: dict[Connection, float] = {}  # and since when
+
+    def longest(self, since_s: float) -> Connection | None:
+        """The one that has waited longest, if since then at least."""
+        first = next(iter(self.members), None)
+        return first if first and self.members[first] <= since_s else None
+
+
 class Connection(asyncio.Protocol):
     """One client connection, which carries requests of many customers."""
 
+    __slots__ = (
+        "answers", "clients", "done", "ended", "parsing", "reader", "refused", "row",
+        "stopped_reading", "taken", "transport", "write_paused",
+    )  # fmt: skip
+
     def __init__(self, clients: Clients) -> None:
         self.clients = clients
-        self.reader = hiredis.Reader()
-        self.unparsed = 0
+        self.reader = resp.Reader(MOST_WORDS)
         self.answers: deque[Answer] = deque()
+        self.row: Row | None = None  # of those that wait for this client
         self.stopped_reading = False
         self.write_paused = False
+        self.parsing = False
         self.ended = False
+        self.done, self.taken, self.refused = 0, 0, 0  # commands, requests, what could not be used
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -62,41 +87,55 @@
         self.answers.clear()
 
     def data_received(self, data: bytes) -> None:
-        if self.ended:
+        if not self.ended:
+            self.reader.feed(data)
+            self.parse()
+
+    def parse(self) -> None:
+        """Take the commands that are whole, as many as may be unanswered."""
+        if self.parsing:
             return
+        self.parsing = True
+        before = self.done
         try:
-            self.reader.feed(data)
-            self.unparsed += len(data)
-            while (message := self.reader.gets()) is not False:
-                self.unparsed = len(data)
-                self.command(message)
-            if not self.reader.has_data():
-                self.unparsed = 0
-        except resp.BROKEN as error:
-            return self.break_off(f"no RESP: {error}")
-        if self.unparsed > resp.LARGEST_MESSAGE:
-            return self.break_off("a command without end")
-        self.throttle()
+            while not self.ended and len(self.answers) < MOST_PIPELINED and not self.write_paused:
+                if (words := self.reader.gets()) is False:
+                    break
+                self.done += 1
+                self.command(words)
+        except resp.StreamError as error:
+            self.break_off(str(error))
+        finally:
+            self.parsing = False
+        if not self.ended:
+            self.throttle()
+            self.wait(self.done > before)
 
     def break_off(self, why: str) -> None:
-        """Guards against a stream that is no RESP: what was asked before it is still answered."""
-        log.warning("closing a client connection: %s", why)
-        self.push(resp.error("Protocol error"))
+        """Guards against a client that cannot be understood or does not go on: one error line, then a
+        close, whatever else waits on this connection, which fails at once."""
+        self.clients.closed[why] += 1
+        answers, self.ended = list(self.answers), True
+        self.push(resp.error(why))
+        for answer in answers:
+            if gone := answer.gone:
+                answer.give(resp.error("failed: the connection is closed"))
+                gone()
         self.finish()
 
-    def command(self, words: object) -> None:
-        if self.ended:
-            return
+    def command(self, words: resp.Reply) -> None:
         if not isinstance(words, list) or not words or not isinstance(words[0], bytes):
-            return self.push(resp.error("a command is an array of bulk strings"))
+            return self.refuse("a command is an array of bulk strings")
         verb = words[0].upper()
         if verb in (b"SVC.QUERY", b"SVC.SUBMIT"):
             answer = Answer(self)
             self.answers.append(answer)
             try:
                 self.clients.take(words, answer)
+                self.taken += 1
             except resp.CommandError as error:
-                answer.give(resp.error(str(error)))
+                self.answers.remove(answer)
+                self.refuse(str(error))
         elif verb == b"PING":
             self.push(resp.PONG if len(words) == 1 else resp.error("wrong number of arguments"))
         elif verb in (b"CLIENT", b"SELECT"):
@@ -104,6 +143,13 @@
         else:
             self.push(resp.error("unknown command"))
 
+    def refuse(self, why: str) -> None:
+        """Guards against a client that only sends what cannot be used keeping a descriptor, or the core."""
+        self.refused += 1
+        if not self.taken or self.refused > MOST_REFUSED:
+            return self.break_off(why)
+        self.push(resp.error(why))
+
     def push(self, reply: bytes) -> None:
         answer = Answer(self)
         self.answers.append(answer)
@@ -121,14 +167,18 @@
         if self.write_paused and self.transport.get_write_buffer_size() > MOST_UNREAD:
             log.warning("dropping a client that does not read its answers")
             return self.transport.abort()
-        if not answers and (self.ended or self.clients.closing):
+        if self.ended or (self.clients.closing and not answers):
             self.finish()
-        elif self.stopped_reading:
-            self.throttle()
+        elif not self.parsing:
+            if self.reader.waiting():
+                self.parse()  # what was left unread while too much was unanswered
+            else:
+                self.throttle()
+                self.wait(False)
 
     def throttle(self) -> None:
         """Guards against memory filled by one client: while it is behind, it is not read."""
-        stop = self.write_paused or len(self.answers) >= MOST_PIPELINED
+        stop = self.ended or self.write_paused or len(self.answers) >= MOST_PIPELINED
         if stop != self.stopped_reading and not self.transport.is_closing():
             self.stopped_reading = stop
             (self.transport.pause_reading if stop else self.transport.resume_reading)()
@@ -136,45 +186,119 @@
     def pause_writing(self) -> None:
         self.write_paused = True
         self.throttle()
+        self.wait(True)
 
     def resume_writing(self) -> None:
         self.write_paused = False
-        self.throttle()
+        if self.ended:
+            return self.finish()
+        self.wait(True)
+        self.parse()
+
+    def wait(self, anew: bool) -> None:
+        """Stand in the row of what the client is to do next, with the whole time if it did something."""
+        clients, row = self.clients, None
+        if self.write_paused or self.ended:
+            row = clients.unread
+        elif not self.done:
+            row = clients.silent
+        elif len(self.answers) < MOST_PIPELINED and self.reader.waiting():
+            row = clients.unsaid
+        elif not self.answers:
+            row = clients.idle if self.taken else clients.greeted
+        if row is not self.row or anew:
+            self.leave()
+            if row:
+                row.members[self] = clients.loop.time()
+            self.row = row
+
+    def leave(self) -> None:
+        if self.row:
+            self.row.members.pop(self, None)
+            self.row = None
 
     def finish(self) -> None:
         """Take nothing more; close once all that was taken is answered and written."""
         self.ended = True
         if not self.answers:
             self.transport.close()
+        else:
+            self.throttle()
+        self.wait(False)
 
 
 class Clients:
     """The listener and its connections."""
 
-    def __init__(self, take: Callable[[list[object], Answer], None], most: int) -> None:
-        self.take, self.most = take, most
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, take: Callable[[Sequence[object], Answer], None], most: int
+    ) -> None:
+        self.loop, self.take, self.most = loop, take, most
         self.connections: dict[Connection, None] = {}
+        self.silent = Row(2.0, "no command in time")  # a first command
+        self.unsaid = Row(2.0, "no command in time")  # the rest of one
+        self.greeted = Row(3.0, "idle")  # a request, after something like PING
+        self.idle = Row(15.0, "idle")  # the next request
+        self.unread = Row(5.0, "answers not read")
+        self.closed: Counter[str] = Counter()  # connections, by reason, since it was last told
+        self.told_s = 0.0
+        self.looker: asyncio.TimerHandle | None = None
         self.closing = False
         self.done = asyncio.Event()
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> Address:
         """Start to accept; returns the address, with the port that a zero was made into."""
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
+        self.server = await self.loop.create_server(
             lambda: Connection(self), *address, family=socket.AF_INET, backlog=BACKLOG
         )
         return cast(Address, self.server.sockets[0].getsockname())
 
     def admit(self, connection: Connection) -> None:
-        """Guards against running out of descriptors: the oldest connection between requests makes room."""
-        if len(self.connections) >= self.most:
-            idle = next((c for c in self.connections if not c.answers and not c.ended), connection)
-            log.warning("too many client connections: closing one")
-            idle.finish()
         self.connections[connection] = None
+        if len(self.connections) > self.most:
+            self.make_room(connection)
+        connection.wait(True)
+        if self.looker is None:
+            self.looker = self.loop.call_later(LOOK_S, self.look)
+
+    def make_room(self, newest: Connection) -> None:
+        """Guards against running out of descriptors: who never asked for anything goes first."""
+        now_s = self.loop.time()
+        settled_s = now_s - SETTLED_S
+        for row, since_s in (
+            (self.silent, settled_s), (self.greeted, settled_s), (self.idle, now_s - self.silent.wait_s),
+            (self.greeted, now_s), (self.idle, settled_s),
+        ):  # fmt: skip
+            if victim := row.longest(since_s):
+                break
+        else:
+            victim = newest
+        self.closed["no room"] += 1
+        victim.finish()
+
+    def look(self) -> None:
+        """Guards against connections that say nothing, stop half-way or do not read: each has its time."""
+        now_s = self.loop.time()
+        for row in (self.silent, self.unsaid):
+            while late := row.longest(now_s - row.wait_s):
+                late.break_off(row.why)
+        for row in (self.greeted, self.idle):
+            while late := row.longest(now_s - row.wait_s):
+                self.closed[row.why] += 1
+                late.finish()
+        while late := self.unread.longest(now_s - self.unread.wait_s):
+            late.leave()
+            self.closed[self.unread.why] += 1
+            late.transport.abort()
+        if self.closed and now_s - self.told_s > TOLD_S:
+            log.warning("closed: %s", ", ".join(f"{n} {why}" for why, n in self.closed.most_common()))
+            self.closed.clear()
+            self.told_s = now_s
+        self.looker = self.loop.call_later(LOOK_S, self.look) if self.connections or self.closed else None
 
     def forget(self, connection: Connection) -> None:
+        connection.leave()
         self.connections.pop(connection, None)
         if self.closing and not self.connections:
             self.done.set()
@@ -182,7 +306,7 @@
     def shut_down(self) -> None:
         """SIGTERM: connections come for a while yet; then answer what is held, and end."""
         log.info("shutting down")
-        asyncio.get_running_loop().call_later(STILL_COMING_S, self.drain)
+        self.loop.call_later(STILL_COMING_S, self.drain)
 
     def drain(self) -> None:
         self.closing = True
@@ -193,3 +317,7 @@
         for connection in list(self.connections):
             if not connection.answers:
                 connection.finish()
+
+    def close(self) -> None:
+        if self.looker:
+            self.looker.cancel()
--- a/hookport/counter.py
+++ b/hookport/counter.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable
 from typing import cast
 
-import hiredis
-
 from aniseshed.interface import Outcome
 from hookport import resp
 from hookport.config import Address
@@ -34,7 +32,7 @@
     def __init__(self, counter: Counter) -> None:
         self.counter = counter
         self.out: deque[Call] = deque()
-        self.reader = hiredis.Reader()
+        self.reader = resp.Reader(0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -49,13 +47,11 @@
             self.reader.feed(data)
             while (reply := self.reader.gets()) is not False:
                 outcome, total = read(reply)
-                if not self.out or outcome is None:
-                    return self.drop("an answer to no call or of no known form")
+                if not self.out:
+                    return self.drop("an answer to no call")
                 self.counter.end(self.out.popleft(), outcome, total)
-        except resp.BROKEN as error:
-            return self.drop(f"no RESP: {error}")
-        if self.reader.has_data() and self.reader.len() > resp.LARGEST_MESSAGE:
-            self.drop("an answer without end")
+        except resp.StreamError as error:
+            self.drop(str(error))
 
     def drop(self, why: str) -> None:
         log.warning("closing the connection: %s", why)
@@ -158,12 +154,14 @@
             self.line.transport.abort()
 
 
-def read(reply: object) -> tuple[Outcome | None, float]:
-    """A total, or that nothing was added."""
-    if isinstance(reply, hiredis.ReplyError):
+def read(reply: resp.Reply) -> tuple[Outcome, float]:
+    """A total, or that nothing was added; after anything else it may have been."""
+    if isinstance(reply, resp.Line) and reply.kind == b"-" and reply.text.split(b" ")[0] in (b"BUSY", b"ERR"):
         return Outcome.FULL, 0.0
     try:
         total = float(reply) if isinstance(reply, bytes) else math.nan
     except ValueError:
         total = math.nan
-    return (Outcome.OK, total) if math.isfinite(total) else (None, 0.0)
+    if not math.isfinite(total):
+        raise resp.StreamError("an answer of no known form")
+    return Outcome.OK, total
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -6,7 +6,7 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from aniseshed import interface as api
@@ -23,7 +23,8 @@
 MS = 1_000_000
 SECOND = 1_000_000_000
 MARGIN_MS = 25  # before a client's time runs out: enough for its last answer to be written and arrive
-SPARE_SOCKETS = 64  # for the loop, discovery, the counter and what is just closing
+CLIENTS_PART = 0.62  # of the descriptors: they hold a third in use, and as many may come for nothing
+SPARE_SOCKETS = 32  # for the loop, discovery, the counter and what is just closing
 KILL_AFTER_NS = 3 * SECOND  # after SIGTERM, or the longest deadline if that is shorter, SIGKILL may come
 KILL_GRACE_S = 0.4  # of the 0.7 s more that are granted then: the rest is for the answers to arrive
 BODY_PART = 0.25  # of the memory at most for the bodies of open requests
@@ -49,18 +50,22 @@
         self.config, self.settings, self.loop = config, settings, loop
         # The limiters name counts by the clock and servers' starts are Unix times: Unix time, but steady.
         self.clock_ns = time.time_ns() - time.monotonic_ns()
+        self.longest_ns = max((kind.deadline_ns for kind in settings.classes), default=0)
         self.limiter = Limiter(settings, config.seed)
-        self.grammar = resp.Grammar(config.names, settings.classes)
+        self.grammar = resp.Grammar(config.names, settings)
         self.events: deque[api.Event] = deque()
         self.busy = False
         self.stopping: asyncio.TimerHandle | None = None
         self.open: dict[int, Open] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.next_id, self.held_bytes = 0, 0
-        most = max(8, (config.sockets - SPARE_SOCKETS) // 2)
+        self.ids: tuple[set[bytes], set[bytes]] = (set(), set())  # of clients: newer and older
+        self.ids_since_ns = 0
+        most = max(16, config.sockets - SPARE_SOCKETS)
         connect_s = (settings.connect_timeout_ns or SECOND) / SECOND
-        self.clients = Clients(self.take, most)
-        self.servers = Servers(loop, self.attempt_ended, connect_s, config.idle_ns / SECOND, most)
+        self.clients = Clients(loop, self.take, round(most * CLIENTS_PART))
+        for_servers = most - self.clients.most
+        self.servers = Servers(loop, self.attempt_ended, connect_s, config.idle_ns / SECOND, for_servers)
         self.discovery = Discovery(
             loop, config.discovery, config.names, self.listed, connect_s, not settings.subscribe
         )
@@ -89,6 +94,7 @@
     def close(self) -> None:
         if self.stopping:
             self.stopping.cancel()
+        self.clients.close()
         self.discovery.close()
         self.servers.close()
         if self.counter:
@@ -105,8 +111,7 @@
     def shut_down(self) -> None:
         """SIGTERM: take what still comes, and answer all before the process may be killed."""
         if self.stopping is None:
-            longest_ns = max((kind.deadline_ns for kind in self.settings.classes), default=0)
-            wait_s = min(longest_ns, KILL_AFTER_NS) / SECOND + KILL_GRACE_S
+            wait_s = min(self.longest_ns, KILL_AFTER_NS) / SECOND + KILL_GRACE_S
             self.stopping = self.loop.call_later(wait_s, self.answer_all)
             self.clients.shut_down()
 
@@ -143,13 +148,15 @@
 
     # From clients
 
-    def take(self, words: list[object], answer: Answer) -> None:
+    def take(self, words: Sequence[object], answer: Answer) -> None:
         command = self.grammar.parse(words)
+        self.once(command.request_id)
         fields = command.fields
         full = self.held_bytes > BODY_PART * self.config.memory_bytes
         if full or len(self.open) >= (self.settings.max_held or 20_000):
             return answer.give(resp.busy(self.settings.max_retry_after_ns))
-        patience_ns = max(1, command.wait_ms - MARGIN_MS) * MS
+        deadline_ns = self.settings.classes[fields.index].deadline_ns
+        patience_ns = min(max(1, command.wait_ms - MARGIN_MS) * MS, deadline_ns)
         self.next_id = request_id = (self.next_id + 1) & 0xFFFFFFFF
         now_ns = self.now_ns()
         request = Open(request_id, command, answer, now_ns + patience_ns)
@@ -171,6 +178,17 @@
             )
         )
 
+    def once(self, client_id: bytes) -> None:
+        """Guards against an effect twice, by an id that is open or was lately: ids are new with each try.
+
+        Two sets take turns: one is kept for the longest deadline at least, so nothing open is forgotten."""
+        now_ns = time.monotonic_ns()
+        if now_ns - self.ids_since_ns > self.longest_ns:
+            self.ids, self.ids_since_ns = (set(), self.ids[0]), now_ns
+        if client_id in self.ids[0] or client_id in self.ids[1]:
+            raise resp.CommandError("the id is in use")
+        self.ids[0].add(client_id)
+
     def forget(self, request_id: int) -> Open | None:
         request = self.open.pop(request_id, None)
         if request:
--- a/hookport/resp.py
+++ b/hookport/resp.py
@@ -7,22 +7,120 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import Literal
 
 import hiredis
 
-from aniseshed.interface import Repeat, TrafficClass
+from aniseshed.interface import Repeat, Settings
 from hookport.config import Names
 
 LARGEST_VALUE = 64 * 1024
-LARGEST_MESSAGE = 512 * 1024  # bytes that may wait for the end of a message: some reads' worth
-LONGEST_WAIT_MS = 3_600_000
+LONGEST_LINE = 512  # bytes of a line, or of a length
+LONGEST_WAITS = 2  # times its class's deadline: no client waits longer
 MOST_CUSTOMERS = 1 << 33
-FIELDS_KEPT = 4096
+FIELDS_KEPT = 1024
 REQUEST_ID = re.compile(rb"[0-9A-Za-z_-]{1,64}").fullmatch
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
 WAIT = re.compile(rb"(|.*,)d=([0-9]{1,9})(|,.*)", re.S).fullmatch
+UNITS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
+HEAD = re.compile(rb"([*$:+-])([^\r\n]{0,%d})\r\n" % LONGEST_LINE).match
+LENGTH = re.compile(rb"[0-9]{1,9}|-1").fullmatch
 OK, PONG = b"+OK\r\n", b"+PONG\r\n"
-BROKEN = (hiredis.HiredisError, MemoryError)  # what the parser raises on a stream that is no RESP
+
+
+class StreamError(Exception):
+    """The stream is no RESP2 as it is spoken here; nothing behind this place can be read."""
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """A line that is no value: ``kind`` is its first byte, as a minus for an error."""
+
+    kind: bytes
+    text: bytes
+
+
+Element = bytes | Line | None
+Reply = Element | list[Element]
+
+
+class Reader:
+    """Messages from a stream of bytes: lines, bulk strings, and flat arrays of these.
+
+    Guards against what a length announces costing anything before its bytes are there: hiredis makes an
+    array as long as its header says, and one of ``*1000000000`` takes a second of CPU to be let go."""
+
+    __slots__ = ("at", "data", "most")
+
+    def __init__(self, most: int) -> None:
+        self.data, self.at, self.most = b"", 0, most  # at most so many elements in an array
+
+    def feed(self, data: bytes) -> None:
+        self.data, self.at = (self.data[self.at :] + data if self.waiting() else data), 0
+
+    def waiting(self) -> bool:
+        """Whether something is left that was not handed out."""
+        return self.at < len(self.data)
+
+    def gets(self) -> Reply | Literal[False]:
+        """The next message, or False until it is whole; raises StreamError."""
+        if not self.waiting() or (head := self.head(self.at)) is None:
+            return False
+        kind, text, at = head
+        if kind != b"*":
+            reply: Reply
+            if (element := self.element(kind, text, at)) is None:
+                return False
+            reply, at = element
+            return self.whole(reply, at)
+        if (count := length(text)) > self.most:
+            raise StreamError("an array that is too long")
+        items: list[Element] = []
+        for _ in range(count):
+            if (head := self.head(at)) is None or (element := self.element(*head)) is None:
+                return False
+            item, at = element
+            items.append(item)
+        return self.whole(items if count >= 0 else None, at)
+
+    def whole(self, reply: Reply, at: int) -> Reply:
+        if at < len(self.data):
+            self.at = at
+        else:
+            self.data, self.at = b"", 0  # an idle connection keeps nothing of what it last said
+        return reply
+
+    def head(self, at: int) -> tuple[bytes, bytes, int] | None:
+        """The kind and the text of the line that begins there, and where the next byte is."""
+        if found := HEAD(self.data, at):
+            return found[1], found[2], found.end()
+        left = len(self.data) - at
+        if left and (self.data[at] not in b"*$:+-" or left > LONGEST_LINE + 2 or b"\n" in self.data[at:]):
+            raise StreamError("a line of no known form")
+        return None
+
+    def element(self, kind: bytes, text: bytes, at: int) -> tuple[Element, int] | None:
+        """What that line begins, and where the next byte is."""
+        if kind == b"*":
+            raise StreamError("an array in an array")
+        if kind != b"$":
+            return Line(kind, text), at
+        if (size := length(text)) < 0:
+            return None, at
+        if size > LARGEST_VALUE:
+            raise StreamError("a value that is too long")
+        end = at + size
+        if self.data[end : end + 2] == b"\r\n":
+            return self.data[at:end], end + 2
+        if len(self.data) >= end + 2:
+            raise StreamError("a value that does not end where it should")
+        return None
+
+
+def length(text: bytes) -> int:
+    if not LENGTH(text):
+        raise StreamError("a length that is none")
+    return int(text)
 
 
 class CommandError(Exception):
@@ -52,6 +150,10 @@
     wait_ms: int
     fields: Fields
 
+    @property
+    def request_id(self) -> bytes:
+        return self.words[2]
+
     def forward(self, wait_ms: int) -> bytes:
         """The same for a server, with how long the limiter will wait."""
         verb, customer, request_id, _, *body = self.words
@@ -76,29 +178,28 @@
     return b"-BUSY %d\r\n" % -(-retry_after_ns // 1_000_000) if retry_after_ns > 0 else b"-BUSY\r\n"
 
 
-def units_of(text: bytes) -> float:
-    try:
-        units = float(text)
-    except ValueError:
-        units = math.nan
-    if not 0 < units < math.inf:
-        raise CommandError("units is not a number above 0")
+def units_of(text: bytes, most: float) -> float:
+    """Guards against amounts that would put a customer's next ticket out of reach."""
+    units = float(text) if UNITS(text) else 0.0
+    if not 0 < units <= most:
+        raise CommandError("units is not a number above 0, or more than a request takes")
     return units
 
 
-def whole(fields: dict[bytes, bytes], name: bytes, least: int) -> float:
+def whole(fields: dict[bytes, bytes], name: bytes, least: int, most: int) -> float:
     """A whole number; one that is not told is the least."""
     text = fields.get(name, b"%d" % least)
-    if not text.isdigit() or len(text) > 9 or int(text) < least:
-        raise CommandError(f"{name.decode()} is not a whole number from {least}")
+    if not text.isdigit() or len(text) > 9 or not least <= int(text) <= most:
+        raise CommandError(f"{name.decode()} is not a whole number from {least} to {most}")
     return float(text)
 
 
 class Grammar:
     """Reads SVC.QUERY and SVC.SUBMIT; anything that a server would not take raises CommandError."""
 
-    def __init__(self, names: Names, classes: Sequence[TrafficClass]) -> None:
-        self.names, self.classes = names, classes
+    def __init__(self, names: Names, settings: Settings) -> None:
+        self.names, self.classes = names, settings.classes
+        self.limiters, self.most_units = max(1, settings.limiters), settings.largest_units or math.inf
         # Few lists differ by more than the wait: what they mean is looked up, which saves most of the work.
         self.fields = lru_cache(FIELDS_KEPT)(self.read_fields)
 
@@ -115,10 +216,12 @@
             raise CommandError("the id is not 1 to 64 letters, digits, - or _")
         if len(listed) > 1024 or len(texts[-1]) > LARGEST_VALUE:
             raise CommandError("an argument is too long")
-        if not (split := WAIT(listed)) or not 0 < (wait_ms := int(split[2])) <= LONGEST_WAIT_MS:
+        if not (split := WAIT(listed)):
             raise CommandError("d is not a number of milliseconds")
-        before, after = split[1], split[3]
+        wait_ms, before, after = int(split[2]), split[1], split[3]
         fields = self.fields(submit, before + after[1:] if after else before[:-1])
+        if not 0 < wait_ms * 1_000_000 <= LONGEST_WAITS * self.classes[fields.index].deadline_ns:
+            raise CommandError("d is not a time for which a client of that class waits")
         return Command(texts, before, after, key, wait_ms, fields)
 
     def read_fields(self, submit: bool, listed: bytes) -> Fields:
@@ -137,8 +240,8 @@
         return Fields(
             index=index,
             plan=plan,
-            units=units_of(fields.get(b"units", b"1")),
-            spread=whole(fields, b"spread", 1),
-            first=whole(fields, b"first", 0),
+            units=units_of(fields.get(b"units", b"1"), self.most_units),
+            spread=whole(fields, b"spread", 1, self.limiters),
+            first=whole(fields, b"first", 0, self.limiters - 1),
             repeated=fields.get(b"r") == b"1",
         )
--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import Callable
 from typing import cast
 
-import hiredis
-
 from aniseshed.interface import Outcome
 from hookport import resp
 from hookport.config import Address
@@ -16,6 +15,8 @@
 log = logging.getLogger("hookport.servers")
 
 IDLE_PART = 0.5  # of the time for which a server keeps an idle connection: ours are closed well before
+ELEMENTS = 3  # of an answer: the value, figures on use, a load report
+REPORT = re.compile(rb"(|[a-z_]+=[0-9.eE+-]+(,[a-z_]+=[0-9.eE+-]+)*)").fullmatch
 
 
 class Attempt:
@@ -37,8 +38,7 @@
     def __init__(self, servers: Servers, server: bytes) -> None:
         self.servers, self.server = servers, server
         self.attempt: Attempt | None = None
-        self.reader = hiredis.Reader()
-        self.unparsed = 0
+        self.reader = resp.Reader(ELEMENTS)
         self.written = False  # whether the attempt's last byte has gone to the network
         self.idle_s = 0.0  # since when it is idle
 
@@ -62,25 +62,13 @@
             return self.transport.abort()
         try:
             self.reader.feed(data)
-            reply = self.reader.gets()
-        except resp.BROKEN as error:
-            return self.garbage(f"no RESP: {error}")
-        if reply is False:
-            self.unparsed += len(data)
-            if self.unparsed > resp.LARGEST_MESSAGE:
-                self.garbage("an answer without end")
-            return
-        self.unparsed = 0
+            if (reply := self.reader.gets()) is False:
+                return
+            outcome, value = read(reply)
+        except resp.StreamError as error:
+            return self.garbage(str(error))
         attempt, self.attempt = self.attempt, None
-        if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
-            outcome, value = Outcome.OK, reply[0]
-        elif isinstance(reply, hiredis.ReplyError):
-            busy = str(reply).split(" ", 1)[0] == "BUSY"
-            outcome, value = (Outcome.FULL if busy else Outcome.ERROR), b""
-        else:
-            self.attempt = attempt
-            return self.garbage("an answer of no known form")
-        if self.reader.has_data() or not self.written:
+        if self.reader.waiting() or not self.written:
             log.warning("%s sent more than an answer", self.server.decode())
             self.transport.abort()
         else:
@@ -99,6 +87,19 @@
             self.servers.finish(attempt, Outcome.RESET if self.written else Outcome.CONNECT_FAILED, b"")
 
 
+def read(reply: resp.Reply) -> tuple[Outcome, bytes]:
+    """What an answer tells; only one that is just as agreed says that nothing ran."""
+    if isinstance(reply, list) and len(reply) == ELEMENTS and isinstance(reply[0], bytes):
+        return Outcome.OK, reply[0]  # what cannot be read of use and load harms no value
+    if isinstance(reply, resp.Line) and reply.kind == b"-":
+        word, _, rest = reply.text.partition(b" ")
+        if word == b"BUSY" and REPORT(rest):
+            return Outcome.FULL, b""
+        if word == b"ERR":
+            return Outcome.ERROR, b""
+    raise resp.StreamError("an answer of no known form")
+
+
 class Servers:
     """The pool of connections; it reports each attempt's one end."""
 
