Use no connection again before it is known to be clean; end half answers soon

Also by reading: what comes behind a good answer was only noticed if it came in the same read, a connection could be kept for a server that had gone or moved, and emptied lists stayed. At fault: Counter.give_up and the reader's bound, Link.data_received, Servers.send and rest.

--- a/hookport/counter.py
+++ b/hookport/counter.py
@@ -15,6 +15,7 @@
 
 log = logging.getLogger("hookport.counter")
 
+LONGEST_TOTAL = 64  # bytes
 STUCK_S = 1.0  # for which a connection may owe its oldest answer before it is taken for dead
 
 
@@ -32,7 +33,7 @@
     def __init__(self, counter: Counter) -> None:
         self.counter = counter
         self.out: deque[Call] = deque()
-        self.reader = resp.Reader(0)
+        self.reader = resp.Reader(0, LONGEST_TOTAL)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -145,6 +146,9 @@
         unsent = call in self.waiting
         if unsent:
             self.waiting.remove(call)
+        elif self.line and self.line.reader.waiting():
+            # Guards against waiting out one call after another behind an answer that never comes to its end.
+            return self.line.drop("half an answer")
         self.end(call, Outcome.CONNECT_FAILED if unsent else Outcome.TIMEOUT)
 
     def close(self) -> None:
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -278,7 +278,7 @@
 
     def listed(self, told: api.ServerList, places: dict[bytes, Address]) -> None:
         if told.kind in (api.ListKind.FULL, api.ListKind.CACHED):
-            for server in [s for s in self.servers.addresses if s not in places]:
+            for server in [s for s in self.servers.places if s not in places]:
                 self.servers.forget(server)
         for entry in told.entries:
             if entry.health is not api.Health.GONE:
--- a/hookport/resp.py
+++ b/hookport/resp.py
@@ -50,10 +50,11 @@
     Guards against what a length announces costing anything before its bytes are there: hiredis makes an
     array as long as its header says, and one of ``*1000000000`` takes a second of CPU to be let go."""
 
-    __slots__ = ("at", "data", "most")
+    __slots__ = ("at", "data", "largest", "most")
 
-    def __init__(self, most: int) -> None:
-        self.data, self.at, self.most = b"", 0, most  # at most so many elements in an array
+    def __init__(self, most: int, largest: int = LARGEST_VALUE) -> None:
+        self.data, self.at = b"", 0
+        self.most, self.largest = most, largest  # elements in an array, bytes in a value
 
     def feed(self, data: bytes) -> None:
         self.data, self.at = (self.data[self.at :] + data if self.waiting() else data), 0
@@ -107,7 +108,7 @@
             return Line(kind, text), at
         if (size := length(text)) < 0:
             return None, at
-        if size > LARGEST_VALUE:
+        if size > self.largest:
             raise StreamError("a value that is too long")
         end = at + size
         if self.data[end : end + 2] == b"\r\n":
--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import re
+import select
 from collections.abc import Callable
 from typing import cast
 
@@ -12,9 +13,13 @@
 from hookport import resp
 from hookport.config import Address
 
+Place = tuple[Address, int]  # where a server is, and since when it runs there
+
 log = logging.getLogger("hookport.servers")
 
 IDLE_PART = 0.5  # of the time for which a server keeps an idle connection: ours are closed well before
+REST_S = 0.005  # after an answer, for what may come behind it, before its connection is used again
+STALL_S = 0.25  # for the rest of an answer that has begun: servers write each at one stroke
 ELEMENTS = 3  # of an answer: the value, figures on use, a load report
 REPORT = re.compile(rb"(|[a-z_]+=[0-9.eE+-]+(,[a-z_]+=[0-9.eE+-]+)*)").fullmatch
 
@@ -35,10 +40,11 @@
 class Link(asyncio.Protocol):
     """A connection to a server; it carries one attempt at a time."""
 
-    def __init__(self, servers: Servers, server: bytes) -> None:
-        self.servers, self.server = servers, server
+    def __init__(self, servers: Servers, server: bytes, place: Place) -> None:
+        self.servers, self.server, self.place = servers, server, place
         self.attempt: Attempt | None = None
         self.reader = resp.Reader(ELEMENTS)
+        self.stall: asyncio.TimerHandle | None = None
         self.written = False  # whether the attempt's last byte has gone to the network
         self.idle_s = 0.0  # since when it is idle
 
@@ -63,11 +69,14 @@
         try:
             self.reader.feed(data)
             if (reply := self.reader.gets()) is False:
+                if self.stall is None:
+                    self.stall = self.servers.loop.call_later(STALL_S, self.garbage, "half an answer")
                 return
             outcome, value = read(reply)
         except resp.StreamError as error:
             return self.garbage(str(error))
         attempt, self.attempt = self.attempt, None
+        self.calm()
         if self.reader.waiting() or not self.written:
             log.warning("%s sent more than an answer", self.server.decode())
             self.transport.abort()
@@ -80,7 +89,13 @@
         log.warning("%s: %s", self.server.decode(), why)
         self.transport.abort()
 
+    def calm(self) -> None:
+        if self.stall:
+            self.stall.cancel()
+            self.stall = None
+
     def connection_lost(self, exc: Exception | None) -> None:
+        self.calm()
         self.servers.lost(self)
         if attempt := self.attempt:
             self.attempt = None
@@ -113,8 +128,9 @@
     ) -> None:
         self.loop, self.ended, self.most = loop, ended, most
         self.connect_timeout_s, self.idle_s = connect_timeout_s, idle_s * IDLE_PART
-        self.addresses: dict[bytes, Address] = {}
-        self.born_ns: dict[bytes, int] = {}
+        self.places: dict[bytes, Place] = {}
+        self.draining: set[bytes] = set()
+        self.poll = select.poll()
         self.links: dict[Link, None] = {}
         self.idle: dict[bytes, list[Link]] = {}  # warmest last
         self.opening: dict[Attempt, None] = {}
@@ -122,14 +138,16 @@
 
     def learn(self, server: bytes, address: Address, born_ns: int) -> None:
         """Guards against a request on a connection to where, or to what, the server was before."""
-        if self.addresses.get(server) != address or self.born_ns.get(server) != born_ns:
+        place = address, born_ns
+        if self.places.get(server) != place:
             self.cool(server)
-        self.addresses[server], self.born_ns[server] = address, born_ns
+        self.places[server] = place
+        self.draining.discard(server)
 
     def forget(self, server: bytes) -> None:
-        self.addresses.pop(server, None)
-        self.born_ns.pop(server, None)
+        self.places.pop(server, None)
         self.leave(server)
+        self.draining.discard(server)
 
     def cool(self, server: bytes) -> None:
         """Close the warm connections."""
@@ -138,22 +156,40 @@
 
     def leave(self, server: bytes) -> None:
         """Guards against a late connection carrying a new attempt to a server that drains or is gone."""
+        self.draining.add(server)
         self.cool(server)
         for attempt in [a for a in self.opening if a.server == server]:
             self.give_up(attempt, Outcome.CONNECT_FAILED)
 
     def send(self, attempt: Attempt) -> None:
-        idle = self.idle.get(attempt.server)
-        while idle:
-            link = idle.pop()
-            if not link.transport.is_closing() and self.loop.time() - link.idle_s < self.idle_s:
-                return link.start(attempt)
-            link.transport.abort()
-        address = self.addresses.get(attempt.server)
-        if address is None or not self.room():
+        if link := self.warm(attempt.server):
+            return link.start(attempt)
+        place = self.places.get(attempt.server)
+        if place is None or not self.room():
             return self.finish(attempt, Outcome.CONNECT_FAILED, b"")
         self.opening[attempt] = None
-        attempt.opening = self.loop.create_task(self.open(attempt, address))
+        attempt.opening = self.loop.create_task(self.open(attempt, place))
+
+    def warm(self, server: bytes) -> Link | None:
+        """The connection that rested last but has rested for long enough, and said nothing since."""
+        idle, now_s = self.idle.get(server, []), self.loop.time()
+        for at in range(len(idle) - 1, -1, -1):
+            link = idle[at]
+            if link.idle_s + REST_S > now_s:
+                continue
+            del idle[at]
+            if link.idle_s + self.idle_s > now_s and not link.transport.is_closing() and self.quiet(link):
+                return link
+            link.transport.abort()
+        return None
+
+    def quiet(self, link: Link) -> bool:
+        """Guards against noise behind an answer being taken for the next one's: it may lie there unread."""
+        number = link.transport.get_extra_info("socket").fileno()
+        self.poll.register(number, select.POLLIN)
+        unread = self.poll.poll(0)
+        self.poll.unregister(number)
+        return not unread
 
     def room(self) -> bool:
         """Guards against running out of descriptors: the longest idle connection makes room."""
@@ -165,11 +201,11 @@
             coldest.transport.abort()
         return coldest is not None
 
-    async def open(self, attempt: Attempt, address: Address) -> None:
-        link = Link(self, attempt.server)
+    async def open(self, attempt: Attempt, place: Place) -> None:
+        link = Link(self, attempt.server, place)
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                await self.loop.create_connection(lambda: link, *address)
+                await self.loop.create_connection(lambda: link, *place[0])
         except (OSError, TimeoutError):
             if attempt in self.opening:
                 self.give_up(attempt, Outcome.CONNECT_FAILED)
@@ -207,6 +243,9 @@
         self.finish(attempt, outcome, b"")
 
     def rest(self, link: Link) -> None:
+        """Keep a connection for the next attempt, unless its server has drained, gone or moved meanwhile."""
+        if self.places.get(link.server) != link.place or link.server in self.draining:
+            return link.transport.abort()
         link.idle_s = self.loop.time()
         self.idle.setdefault(link.server, []).append(link)
         if self.sweeper is None:
@@ -218,8 +257,8 @@
         for links in self.idle.values():
             while links and links[0].idle_s <= before:
                 links.pop(0).transport.abort()
-        left = any(self.idle.values())
-        self.sweeper = self.loop.call_later(self.idle_s / 4, self.sweep) if left else None
+        self.idle = {server: links for server, links in self.idle.items() if links}
+        self.sweeper = self.loop.call_later(self.idle_s / 4, self.sweep) if self.idle else None
 
     def lost(self, link: Link) -> None:
         self.links.pop(link, None)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -23,7 +23,7 @@
 )  # fmt: skip
 
 from aniseshed.interface import AttemptEnded, Outcome
-from hookport import clients, counter, discovery, node
+from hookport import clients, counter, discovery, node, servers
 from hookport.servers import Attempt, Link
 
 
@@ -140,8 +140,9 @@
     run(scenario)
 
 
-def test_a_warm_connection_is_used_again_and_one_that_ended_is_not() -> None:
+def test_a_warm_connection_is_used_again_and_one_that_ended_is_not(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
+        monkeypatch.setattr(servers, "REST_S", -1.0)
         async with World(serve) as world:
             client = await (await world.start()).client()
             stub = world.stubs[0]
@@ -172,9 +173,10 @@
     run(scenario)
 
 
-def test_after_a_time_out_no_warm_connection_is_trusted() -> None:
+def test_after_a_time_out_no_warm_connection_is_trusted(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against a machine that vanished in silence swallowing one request for each open connection.
     async def scenario() -> None:
+        monkeypatch.setattr(servers, "REST_S", -1.0)
         async with World(hold) as world:
             client = await (await world.start()).client()
             client.send(*submit(1))
@@ -255,9 +257,9 @@
             await world.start()
             assert world.node
             ends: list[Outcome] = []
-            servers = world.node.servers
-            servers.ended = lambda attempt, how, value: ends.append(how)
-            link, transport = Link(servers, b"s-0"), HalfWritten()
+            pool = world.node.servers
+            pool.ended = lambda attempt, how, value: ends.append(how)
+            link, transport = Link(pool, b"s-0", (("127.0.0.1", 1), 0)), HalfWritten()
             link.connection_made(transport)  # type: ignore[arg-type]
             link.start(Attempt(1, 0, b"s-0", b"payload", 0))
             if drained:
@@ -462,7 +464,7 @@
             world.discovery.push(change(3, row("s-0", first.port, started=1_800_000_000_000), whole=True))
             await until(lambda: b"s-1" not in servers)
             assert servers[b"s-0"].born_ns == 1_800_000_000_000 * 10**6
-            assert list(world.node.servers.addresses) == [b"s-0"]
+            assert list(world.node.servers.places) == [b"s-0"]
 
     run(scenario)
 
