Leave a silent counter connection after four time-outs; let large values go on

Now a line that owes an answer and says nothing for 4 time-outs goes, doubling up to 1 s while no answer comes; servers' values may have 1 MiB, and half an answer is one that brings nothing for 0.25 s.

--- a/hookport/counter.py
+++ b/hookport/counter.py
@@ -16,7 +16,8 @@
 log = logging.getLogger("hookport.counter")
 
 LONGEST_TOTAL = 64  # bytes
-STUCK_S = 1.0  # for which a connection may owe its oldest answer before it is taken for dead
+STUCK_WAITS = 4.0  # time-outs for which a connection may owe an answer and say nothing before it is given up
+STUCK_S = 1.0  # what that grows to while no new connection brings an answer: the counter itself is silent
 
 
 class Call:
@@ -33,6 +34,7 @@
     def __init__(self, counter: Counter) -> None:
         self.counter = counter
         self.out: deque[Call] = deque()
+        self.heard_s = 0.0  # when an answer came last
         self.reader = resp.Reader(0, LONGEST_TOTAL)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -44,6 +46,8 @@
         self.transport.write(call.words)
 
     def data_received(self, data: bytes) -> None:
+        self.heard_s = self.counter.loop.time()
+        self.counter.stuck_s = self.counter.least_stuck_s
         try:
             self.reader.feed(data)
             while (reply := self.reader.gets()) is not False:
@@ -83,22 +87,29 @@
         self.line: Line | None = None
         self.opening: asyncio.Task[None] | None = None
         self.waiting: deque[Call] = deque()  # for a connection
+        self.least_stuck_s = self.stuck_s = min(STUCK_S, STUCK_WAITS * timeout_s)
 
     def call(self, name: int, amount: float, lifetime_ns: int) -> None:
         life_ms = max(1, -(-lifetime_ns // 1_000_000))
         words = resp.pack((b"INCRTTL", b"%d" % name, f"{amount:.6f}".encode(), b"%d" % life_ms))
         call = Call(name, words, self.loop.time())
         call.timer = self.loop.call_later(self.timeout_s, self.give_up, call)
+        self.check()
         line = self.line
-        # Guards against waiting for ever on a connection whose other end has vanished without a word.
-        if line and line.out and call.sent_s - line.out[0].sent_s > STUCK_S:
-            line.drop("no answer for long")
         if line and not line.transport.is_closing():
             line.write(call)
         else:
             self.waiting.append(call)
             self.connect()
 
+    def check(self) -> None:
+        """Guards against waiting on a connection whose other end has vanished without a word."""
+        if (line := self.line) and line.out:
+            silent_s = self.loop.time() - max(line.heard_s, line.out[0].sent_s)
+            if silent_s >= self.stuck_s:
+                self.stuck_s = min(STUCK_S, 2 * self.stuck_s)
+                line.drop("no answer for long")
+
     def move(self, address: Address) -> None:
         """A new configuration: what is out ends now, as it may have been added at the old address.
 
@@ -150,6 +161,7 @@
             # Guards against waiting out one call after another behind an answer that never comes to its end.
             return self.line.drop("half an answer")
         self.end(call, Outcome.CONNECT_FAILED if unsent else Outcome.TIMEOUT)
+        self.check()
 
     def close(self) -> None:
         if self.opening:
--- a/hookport/resp.py
+++ b/hookport/resp.py
@@ -15,6 +15,7 @@
 from hookport.config import Names
 
 LARGEST_VALUE = 64 * 1024
+LARGEST_ANSWER = 1 << 20  # servers' values may be larger than what clients send: some have 400 KB
 LONGEST_LINE = 512  # bytes of a line, or of a length
 LONGEST_WAITS = 2  # times its class's deadline: no client waits longer
 MOST_CUSTOMERS = 1 << 33
--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -19,7 +19,7 @@
 
 IDLE_PART = 0.5  # of the time for which a server keeps an idle connection: ours are closed well before
 REST_S = 0.005  # after an answer, for what may come behind it, before its connection is used again
-STALL_S = 0.25  # for the rest of an answer that has begun: servers write each at one stroke
+STALL_S = 0.25  # for more of an answer that has begun
 ELEMENTS = 3  # of an answer: the value, figures on use, a load report
 REPORT = re.compile(rb"(|[a-z_]+=[0-9.eE+-]+(,[a-z_]+=[0-9.eE+-]+)*)").fullmatch
 
@@ -43,8 +43,9 @@
     def __init__(self, servers: Servers, server: bytes, place: Place) -> None:
         self.servers, self.server, self.place = servers, server, place
         self.attempt: Attempt | None = None
-        self.reader = resp.Reader(ELEMENTS)
+        self.reader = resp.Reader(ELEMENTS, resp.LARGEST_ANSWER)
         self.stall: asyncio.TimerHandle | None = None
+        self.heard_s = 0.0  # when a part of an answer came last
         self.written = False  # whether the attempt's last byte has gone to the network
         self.idle_s = 0.0  # since when it is idle
 
@@ -69,8 +70,9 @@
         try:
             self.reader.feed(data)
             if (reply := self.reader.gets()) is False:
+                self.heard_s = self.servers.loop.time()
                 if self.stall is None:
-                    self.stall = self.servers.loop.call_later(STALL_S, self.garbage, "half an answer")
+                    self.stall = self.servers.loop.call_later(STALL_S, self.stalled)
                 return
             outcome, value = read(reply)
         except resp.StreamError as error:
@@ -89,6 +91,14 @@
         log.warning("%s: %s", self.server.decode(), why)
         self.transport.abort()
 
+    def stalled(self) -> None:
+        """Guards against an answer that stops short holding its request until there is no time left."""
+        wait_s = self.heard_s + STALL_S - self.servers.loop.time()
+        if wait_s > 0:
+            self.stall = self.servers.loop.call_later(wait_s, self.stalled)
+        else:
+            self.garbage("half an answer")
+
     def calm(self) -> None:
         if self.stall:
             self.stall.cancel()
--- a/tests/test_bad_servers.py
+++ b/tests/test_bad_servers.py
@@ -6,10 +6,10 @@
 
 import pytest
 import uvloop
-from world import VALUE, Stub, World, change, row, saying, serve, submit, until
+from world import VALUE, Stub, World, change, never, row, saying, serve, soon, submit, until
 
 from aniseshed.interface import Outcome
-from hookport import resp, servers
+from hookport import counter, resp, servers
 
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
@@ -155,3 +155,36 @@
     run(scenario)
 
 
+
+
+def test_a_silent_counter_connection_is_left_soon_and_a_silent_counter_not_pestered() -> None:
+    async def scenario() -> None:
+        stub = await Stub(never).start()
+        ends: list[Outcome] = []
+        calls = counter.Counter(
+            asyncio.get_running_loop(), ("127.0.0.1", stub.port), 0.01, 5.0,
+            lambda call, how, total: ends.append(how),
+        )  # fmt: skip
+        first_s = calls.stuck_s
+
+        async def call() -> None:
+            while stub.closed < 2:
+                calls.call(1, 1.0, 10**9)
+                await asyncio.sleep(0.01)
+
+        await soon(call())
+        assert calls.stuck_s >= 4 * first_s  # each silent one in a row is waited for longer
+        calls.close()
+        stub.die()
+
+    run(scenario)
+
+
+def test_a_value_larger_than_any_that_clients_send_goes_on() -> None:
+    async def scenario() -> None:
+        value = b"x" * 400_000
+        async with World(saying(b"*3\r\n$400000\r\n%s\r\n$-1\r\n$-1\r\n" % value)) as world:
+            client = await (await world.start()).client()
+            assert await client.ask(*submit()) == value
+
+    run(scenario)
