--- a/hookport/__main__.py
+++ b/hookport/__main__.py
@@ -79,4 +79,8 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        from hookport.cli import main as command  # only now: the daemon imports none of it
+
+        sys.exit(command())
     sys.exit(main())
--- /dev/null
+++ b/hookport/rehearsal/scripted.py
@@ -0,0 +1,135 @@
+"""Scripted peers for tests in the limiter's own loop: each does what a test tells it, byte by byte.
+
+The stand-ins model a world; these have no model at all.  A handler is called for each command and writes
+what the test wants seen: ``serve``, ``hold``, ``never``, ``reset`` and ``saying(...)`` are the usual ones.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import hiredis
+
+VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+PATIENCE_S = 20.0  # for what is sure to come: only a failed test waits as long
+
+Handler = Callable[["Stub", list[bytes], asyncio.StreamWriter], Awaitable[None]]
+
+
+async def soon(event: Awaitable[Any]) -> Any:
+    return await asyncio.wait_for(event, PATIENCE_S)
+
+
+async def until(condition: Callable[[], object]) -> None:
+    async def look() -> None:
+        while not condition():
+            await asyncio.sleep(0.005)
+
+    await soon(look())
+
+
+class Stub:
+    """A RESP listener whose answers a test decides; it remembers what it was told."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.commands: list[list[bytes]] = []
+        self.writers: list[asyncio.StreamWriter] = []
+        self.closed = 0
+        self.release = asyncio.Event()
+
+    async def start(self) -> Stub:
+        self.server = await asyncio.start_server(self.talk, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        parser = hiredis.Reader()
+        self.writers.append(writer)
+        try:
+            while data := await reader.read(1 << 16):
+                parser.feed(data)
+                while (words := parser.gets()) is not False:
+                    self.commands.append(words)
+                    await self.handler(self, words, writer)
+        except OSError:
+            pass
+        finally:
+            self.closed += 1
+            writer.close()
+
+    def die(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+async def serve(stub: Stub, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+    writer.write(VALUE)
+
+
+async def hold(stub: Stub, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+    await stub.release.wait()
+    writer.write(VALUE)
+
+
+async def never(stub: Stub, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+    pass
+
+
+async def reset(stub: Stub, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+def saying(text: bytes) -> Handler:
+    async def say(stub: Stub, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+        writer.write(text)
+
+    return say
+
+
+class Discovery:
+    """Answers each watch with what ``lines`` holds and then with what is pushed."""
+
+    def __init__(self) -> None:
+        self.requests: list[bytes] = []
+        self.watches: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> Discovery:
+        self.server = await asyncio.start_server(self.talk, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watches.append(writer)
+
+    def push(self, line: bytes) -> None:
+        self.watches[-1].write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+
+
+class Client:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.parser = reader, writer, hiredis.Reader()
+
+    def send(self, *words: bytes) -> None:
+        self.writer.write(hiredis.pack_command(words))  # type: ignore[arg-type,no-untyped-call,unused-ignore]
+
+    async def answer(self) -> Any:
+        """The next answer, or EOFError when the connection ends."""
+        while (reply := self.parser.gets()) is False:
+            try:
+                data = await soon(self.reader.read(1 << 16))
+            except ConnectionError:
+                data = b""
+            if not data:
+                raise EOFError
+            self.parser.feed(data)
+        return reply
+
+    async def ask(self, *words: bytes) -> Any:
+        self.send(*words)
+        return await self.answer()
--- /dev/null
+++ b/hookport/rehearsal/standins/counter.py
@@ -0,0 +1,175 @@
+"""The shared counter: parts served in turn, a full line, expiry, late and lost answers, a split."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import zlib
+from collections.abc import Callable
+from typing import Any, Literal, cast
+
+import hiredis
+
+from hookport.rehearsal.loops import Slots, listen
+
+LONGEST_LIFE_MS = 60_000
+MOST_CONNECTIONS = 32  # of one limiter
+MOST_NAMES = 1 << 20
+Mode = Literal["ok", "silent", "late", "noise", "busy", "down"]
+NOISE = (b"$5\r\nhello\r\n", b"*1000\r\n", b":12\r\n", b"\x00\xffgarbage\r\n", b"$-1\r\n")
+
+
+class Line(asyncio.Protocol):
+    """One connection of a limiter."""
+
+    def __init__(self, counter: Counter, limiter: int) -> None:
+        self.counter, self.limiter = counter, limiter
+        self.reader = hiredis.Reader()
+        self.muted = False  # an answer was lost: answers come in order, so none comes any more
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.slots = Slots(self.write)
+        of_limiter = sum(line.limiter == self.limiter for line in self.counter.lines)
+        if of_limiter >= MOST_CONNECTIONS:
+            return self.transport.abort()
+        self.counter.lines.add(self)
+
+    def write(self, data: bytes) -> None:
+        if not self.transport.is_closing() and not self.muted:
+            self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        self.reader.feed(data)
+        try:
+            while (words := self.reader.gets()) is not False:
+                self.counter.command(self, words)
+        except hiredis.ProtocolError:
+            self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.counter.lines.discard(self)
+
+
+class Counter:
+    """Numbers by name; ``now_s`` is the loop's clock unless a test hands in its own."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        parts: int = 4,
+        per_s: float = 400.0,
+        line: int = 200,
+        lost: Callable[[], bool] | None = None,
+    ) -> None:
+        self.loop, self.per_s, self.most_waiting = loop, per_s, line
+        self.lost = lost or (lambda: False)
+        self.free_s = [0.0] * parts  # when each part has served what waits for it
+        self.totals: list[dict[bytes, tuple[float, float]]] = [{}, {}]  # of each side of a split
+        self.split = False
+        self.mode: Mode = "ok"
+        self.late_s = 0.2
+        self.calls: list[int] = []
+        self.lines: set[Line] = set()
+        self.ports: list[int] = []
+        self.listeners: dict[int, asyncio.Server] = {}
+
+    async def start(self, limiters: int) -> list[int]:
+        """Listen once for each limiter; returns the ports."""
+        self.calls, self.ports = [0] * limiters, [0] * limiters
+        for limiter in range(limiters):
+            await self.open(limiter)
+        return self.ports
+
+    async def open(self, limiter: int) -> int:
+        """Listen for one limiter, at its old address if there is one."""
+        listener, port = await listen(self.loop, lambda: Line(self, limiter), self.ports[limiter])
+        self.listeners[limiter], self.ports[limiter] = listener, port
+        return port
+
+    async def set(self, mode: str, late_s: float = 0.2) -> None:
+        """Go over to a mode; ``fresh`` forgets all totals, ``split`` gives odd limiters their own side."""
+        if mode == "fresh":
+            self.totals = [{}, {}]
+            for line in list(self.lines):
+                line.transport.abort()
+            return
+        if mode == "split":
+            self.split, self.totals[1] = True, dict(self.totals[0])
+            return
+        self.split = False
+        before, self.mode, self.late_s = self.mode, cast(Mode, mode), late_s
+        if mode == "down":
+            self.close()
+        elif before == "down":
+            for limiter in range(len(self.ports)):
+                await self.open(limiter)
+
+    async def move(self, limiter: int) -> int:
+        """Go to a new address: the old one takes no new connection and closes the open ones after 1.5 s."""
+        old = [line for line in self.lines if line.limiter == limiter]
+        if listener := self.listeners.pop(limiter, None):
+            listener.close()
+
+        def end() -> None:
+            for line in old:
+                line.transport.close()
+
+        self.loop.call_later(1.5, end)
+        self.ports[limiter] = 0
+        return await self.open(limiter)
+
+    def close(self) -> None:
+        for listener in self.listeners.values():
+            listener.close()
+        self.listeners.clear()
+        for line in list(self.lines):
+            line.transport.abort()
+
+    def command(self, line: Line, words: Any) -> None:
+        slot = line.slots.take()
+        verb = words[0].upper() if isinstance(words, list) and words and isinstance(words[0], bytes) else b""
+        if verb == b"PING":
+            return line.slots.give(slot, b"+PONG\r\n")
+        if verb in (b"CLIENT", b"SELECT"):
+            return line.slots.give(slot, b"+OK\r\n")
+        if verb != b"INCRTTL" or len(words) != 4 or not 1 <= len(words[1]) <= 64:
+            return line.slots.give(slot, b"-ERR no such call\r\n")
+        try:
+            amount, life_ms = float(words[2]), min(LONGEST_LIFE_MS, int(words[3]))
+        except ValueError:
+            return line.slots.give(slot, b"-ERR not a number\r\n")
+        if not abs(amount) <= 1e9 or life_ms < 1:
+            return line.slots.give(slot, b"-ERR out of range\r\n")
+        self.calls[line.limiter] += 1
+        now_s = self.loop.time()
+        part = zlib.crc32(words[1]) % len(self.free_s)
+        if (self.free_s[part] - now_s) * self.per_s > self.most_waiting or self.mode == "busy":
+            return line.slots.give(slot, b"-BUSY\r\n")
+        self.free_s[part] = max(now_s, self.free_s[part]) + 1 / self.per_s
+        self.loop.call_at(self.free_s[part], self.serve, line, slot, words[1], amount, life_ms)
+
+    def add(self, side: int, name: bytes, amount: float, life_ms: int, now_s: float) -> float:
+        """Add to a name that lives ``life_ms`` from its first call; returns the total."""
+        totals = self.totals[side]
+        total, ends_s = totals.get(name, (0.0, -1.0))
+        if ends_s <= now_s:
+            total, ends_s = 0.0, now_s + life_ms / 1000
+            if len(totals) > MOST_NAMES:
+                for old in [key for key, (_, end) in totals.items() if end <= now_s]:
+                    del totals[old]
+        totals[name] = (total + amount, ends_s)
+        return total + amount
+
+    def serve(self, line: Line, slot: list[bytes | None], name: bytes, amount: float, life_ms: int) -> None:
+        side = line.limiter % 2 if self.split else 0
+        total = b"%.7g" % self.add(side, name, amount, life_ms, self.loop.time())
+        answer = b"$%d\r\n%s\r\n" % (len(total), total)
+        if self.mode == "noise":
+            answer = NOISE[time.monotonic_ns() // 1000 % len(NOISE)]
+        if self.mode == "silent" or self.lost():
+            line.muted = True
+        if self.mode == "late":
+            self.loop.call_later(self.late_s, line.slots.give, slot, answer)
+        else:
+            line.slots.give(slot, answer)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,1 @@
+pytest_plugins = ["hookport.rehearsal.fixtures"]
