Tests that cause every failure the rehearsal kit stands for, and its benchmarks

Need: the kit is what later work is proved with, so it must itself be proved: stand-ins that really fail, a referee that bites and does not bark, and nothing left behind by a command that is killed.

The counter's stand-in hands out its ports as a copy.

--- /dev/null
+++ b/benchmarks/kit_rate.py
@@ -0,0 +1,75 @@
+"""How many requests a second the rehearsal kit drives before it runs late itself.
+
+    python benchmarks/kit_rate.py [RATE ...]
+
+The limiters are replaced by a stub that answers at once, so that what is measured is the kit: clients,
+front, history and judgement.  For each rate: requests asked, the lateness of their leaving (p50 and p99, ms),
+the longest that a loop of the kit was held, and whether the run would have counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+
+from hookport.rehearsal import PLAIN, Play, history
+from hookport.rehearsal import plan as plans
+from hookport.rehearsal.referee import void
+from hookport.rehearsal.score import quantile
+
+LENGTH_S = 8.0
+RATES = (1000, 2000, 3000, 4000, 5000, 6000)
+STUB = (*PLAIN, "--stub")
+
+
+def plan_of(rate: int) -> plans.Plan:
+    customers = 100
+    quota = plans.Quota(name="any", rate=rate / customers * 10, burst=rate)
+    desk = plans.Desk(name="all", plan="any", customers=customers, usage=0.1, units=(1, 1), spread=3)
+    return plans.Plan(title=f"{rate} a second", length_s=LENGTH_S, plans=(quota,), desk=(desk,))
+
+
+async def measure(rate: int) -> tuple[str, bool]:
+    with tempfile.TemporaryDirectory() as folder:
+        kept = Path(folder) / "history"
+        plan = plan_of(rate)
+        await Play(plan, 1, STUB).run(kept)
+        began = time.monotonic()
+        head, rows = history.read(kept)
+        plan = msgspec.convert(head["plan"], plans.Plan)
+        why = void(plan, rows)
+        read_s = time.monotonic() - began
+    late = [row["late"] for row in rows if row["e"] == "due"]
+    times: dict[str, list[int]] = {}
+    for row in rows:
+        if row["e"] in ("ask", "ans"):
+            times.setdefault(row["id"], []).append(row["t"])
+    took = [(t[1] - t[0]) / 1e6 for t in times.values() if len(t) == 2]
+    held = max((row["ms"] for row in rows if row["e"] == "lag"), default=0.0)
+    answered = sum(row["e"] == "ans" and row["how"] == "value" for row in rows)
+    text = (
+        f"{len(late) / LENGTH_S:7.0f}/s  answered {answered / max(1, len(late)):6.1%}  "
+        f"late p50 {quantile(late, 0.5):5.1f} p99 {quantile(late, 0.99):6.1f} ms  held {held:5.0f} ms  "
+        f"answer p50 {quantile(took, 0.5):5.1f} p99 {quantile(took, 0.99):6.1f} ms  "
+        f"read in {read_s:.1f} s  {'void: ' + why if why else 'counts'}"
+    )
+    return text, not why
+
+
+def main() -> int:
+    best = 0
+    for rate in [int(word) for word in sys.argv[1:]] or RATES:
+        text, counts = asyncio.run(measure(rate))
+        print(text, flush=True)
+        best = max(best, rate if counts else 0)
+    print(f"the kit drives {best} requests a second in time")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hookport/rehearsal/standins/counter.py
+++ b/hookport/rehearsal/standins/counter.py
@@ -79,7 +79,7 @@
         self.calls, self.ports = [0] * limiters, [0] * limiters
         for limiter in range(limiters):
             await self.open(limiter)
-        return self.ports
+        return list(self.ports)
 
     async def open(self, limiter: int) -> int:
         """Listen for one limiter, at its old address if there is one."""
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,490 @@
+"""The stand-ins by themselves: each failure that a rehearsal causes is really there on the socket."""
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import hiredis
+import pytest
+import uvloop
+
+from hookport.rehearsal.loops import Place
+from hookport.rehearsal.scripted import Client, soon, until
+from hookport.rehearsal.standins import Agent, Counter, Fleet, Model, Proxy, Server
+from hookport.rehearsal.standins.server import Told
+
+Row = dict[str, Any]
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    uvloop.run(scenario())  # type: ignore[arg-type]
+
+
+async def connect(port: int) -> Client:
+    return Client(*await asyncio.open_connection(Place.host, port))
+
+
+class Desk:
+    """One server, with requests whose work a test names: id "w20" works 20 ms, "c20" is a claim of 20 ms."""
+
+    def __init__(self, **model: Any) -> None:
+        self.rows: list[Row] = []
+        self.events: list[str] = []
+        self.kill_at = ""
+        told = Model(**{"cores": 1, "queue": 1, "speed": 1.0, **model})
+        self.server = Server(asyncio.get_running_loop(), 0, told, self.look_up, self.rows.append, self.hook)
+
+    def look_up(self, id: str) -> Told | None:
+        if id[:1] not in ("w", "c"):
+            return None
+        return Told(work_s=int(id[1:].split("-")[0]) / 1000, unsafe=id[0] == "c", fails=False)
+
+    def hook(self, event: str, server: Server, job: Any) -> None:
+        self.events.append(event)
+        if event == self.kill_at:
+            server.stop("killed")
+
+    def kinds(self, *kinds: str) -> list[str]:
+        return [row["e"] for row in self.rows if row["e"] in kinds]
+
+    async def start(self, cold: bool = False) -> Client:
+        await self.server.start("s-0", 1, cold)
+        return await self.client()
+
+    async def client(self) -> Client:
+        return await connect(self.server.ports[0])
+
+
+def ask(id: str) -> tuple[bytes, ...]:
+    words = (b"0000000000000007", id.encode(), b"c=x,t=y,d=500")
+    return (b"SVC.SUBMIT", *words, b"body") if id[0] == "c" else (b"SVC.QUERY", *words)
+
+
+def test_a_server_serves_and_writes_its_ledger() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        client = await desk.start()
+        value, use, report = await client.ask(*ask("c5"))
+        assert value.startswith(b"s-0/c5/") and use is None and report is None
+        assert desk.kinds("arrive", "effect", "reply") == ["arrive", "effect", "reply"]
+        assert await client.ask(b"PING") == b"PONG"
+        assert str(await client.ask(b"HELLO", b"3")) == "ERR unknown command"
+        desk.server.stop("the end")
+
+    run(scenario)
+
+
+def test_a_full_waiting_room_turns_away_and_answers_keep_their_order() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        client = await desk.start()
+        for id in ("w60", "w1", "w2"):
+            client.send(*ask(id))
+        assert (await client.answer())[0].startswith(b"s-0/w60")
+        assert (await client.answer())[0].startswith(b"s-0/w1")
+        assert str(await client.answer()) == "BUSY"
+        assert desk.kinds("turned") == ["turned"]
+        desk.server.stop("the end")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("event", "effects"), [("claim-received", 0), ("claim-begun", 0), ("claim-effect", 1)]
+)
+def test_a_death_in_the_middle_of_a_claim_is_caused(event: str, effects: int) -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        desk.kill_at = event
+        client = await desk.start()
+        client.send(*ask("c5"))
+        with pytest.raises(EOFError):
+            await client.answer()
+        assert desk.kinds("effect") == ["effect"] * effects and not desk.kinds("reply")
+        with pytest.raises(ConnectionRefusedError):
+            await desk.client()
+        await desk.server.start("s-0", 1, cold=True)  # at the same address
+        desk.kill_at = ""
+        assert (await (await desk.client()).ask(*ask("c6")))[0].startswith(b"s-0/c6")
+        desk.server.stop("the end")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(("cancel", "effects"), [("none", 2), ("queued", 1), ("all", 0)])
+def test_what_a_closed_connection_stops(cancel: str, effects: int) -> None:
+    async def scenario() -> None:
+        desk = Desk(cancel=cancel)
+        client = await desk.start()
+        client.send(*ask("c40-1"))
+        client.send(*ask("c40-2"))
+        await until(lambda: len(desk.kinds("arrive")) == 2)
+        client.writer.transport.abort()
+        await until(lambda: not desk.server.connections)
+        other = await desk.client()
+        await other.ask(*ask("w1"))  # waits its turn behind what still runs
+        await until(lambda: not desk.server.running and not desk.server.waiting)
+        assert len(desk.kinds("effect")) == effects
+        desk.server.stop("the end")
+
+    run(scenario)
+
+
+def test_a_draining_server_ends_what_it_has_and_turns_new_work_away() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        client = await desk.start()
+        client.send(*ask("w40"))
+        await until(lambda: desk.kinds("arrive"))
+        desk.server.draining = True
+        assert str(await (await desk.client()).ask(*ask("w1"))) == "BUSY"
+        assert (await client.answer())[0].startswith(b"s-0/w40")
+        desk.server.stop("the end")
+
+    run(scenario)
+
+
+def test_a_cold_server_is_slower_and_falls_over_when_it_gets_too_much() -> None:
+    async def scenario() -> None:
+        desk = Desk(
+            queue=100, cold_from=0.1, cold_s=1000.0, fall_multiple=2.0, fall_s=1.0, mean_work_s=0.01
+        )
+        client = await desk.start(cold=True)
+        before = time.monotonic()
+        await client.ask(*ask("w10"))
+        assert time.monotonic() - before >= 0.09  # ten times as long at a tenth of its speed
+        for _ in range(20):  # a second of work at once, where 200 ms in each second are its budget
+            client.send(*ask("w50"))
+        with pytest.raises(EOFError):
+            await client.answer()
+        assert desk.kinds("fell", "down") == ["fell", "down"]
+        with pytest.raises(ConnectionRefusedError):
+            await desk.client()
+
+    run(scenario)
+
+
+def test_connections_beyond_the_limit_are_reset_and_a_bad_form_is_told() -> None:
+    async def scenario() -> None:
+        desk = Desk(connections=1)
+        client = await desk.start()
+        assert await client.ask(b"PING") == b"PONG"
+        with pytest.raises((EOFError, ConnectionError)):
+            await (await desk.client()).ask(b"PING")
+        assert str(await client.ask(b"SVC.QUERY", b"x", b"nobody's", b"c=x,d=5")) == "SYNTAX"
+        assert desk.kinds("syntax") == ["syntax"]
+        desk.server.stop("the end")
+
+    run(scenario)
+
+
+def test_idle_connections_are_closed() -> None:
+    async def scenario() -> None:
+        desk = Desk(idle_s=0.1)
+        client = await desk.start()
+        assert await client.ask(b"PING") == b"PONG"
+        with pytest.raises(EOFError):
+            await client.answer()
+        desk.server.stop("the end")
+
+    run(scenario)
+
+
+# The counter
+
+
+async def count(client: Client, name: bytes, amount: float, life_ms: int = 9000) -> Any:
+    return await client.ask(b"INCRTTL", name, b"%f" % amount, b"%d" % life_ms)
+
+
+def test_the_counter_adds_expires_and_refuses_what_is_no_call() -> None:
+    async def scenario() -> None:
+        counter = Counter(asyncio.get_running_loop())
+        client = await connect((await counter.start(1))[0])
+        assert await count(client, b"a", 2, 60) == b"2"
+        assert await count(client, b"a", -0.5, 60) == b"1.5"
+        await asyncio.sleep(0.08)
+        assert await count(client, b"a", 1, 60) == b"1"  # forgotten: later calls do not extend a life
+        for line in (b"INCRTTL a", b"INCRTTL a x 1", b"INCRTTL a 1e10 1", b"INCRTTL a nan 1",
+                     b"INCRTTL a 1 0", b"GET a"):  # fmt: skip
+            assert str(await client.ask(*line.split())).startswith("ERR")
+        counter.close()
+
+    run(scenario)
+
+
+def test_calls_are_served_in_turn_and_a_full_line_turns_away() -> None:
+    async def scenario() -> None:
+        counter = Counter(asyncio.get_running_loop(), parts=1, per_s=50.0, line=3)
+        client = await connect((await counter.start(1))[0])
+        before = time.monotonic()
+        for _ in range(8):
+            client.send(b"INCRTTL", b"a", b"1", b"9000")
+        answers = [await client.answer() for _ in range(8)]
+        taken = [a for a in answers if isinstance(a, bytes)]
+        assert taken == [b"%d" % n for n in range(1, len(taken) + 1)] and 3 <= len(taken) <= 5
+        assert {str(a) for a in answers if not isinstance(a, bytes)} == {"BUSY"}
+        assert time.monotonic() - before >= 0.05
+        counter.close()
+
+    run(scenario)
+
+
+def test_a_silent_counter_adds_and_says_nothing_and_a_fresh_one_starts_at_zero() -> None:
+    async def scenario() -> None:
+        counter = Counter(asyncio.get_running_loop(), parts=1)
+        port = (await counter.start(1))[0]
+        client = await connect(port)
+        await counter.set("silent")
+        client.send(b"INCRTTL", b"a", b"5", b"9000")
+        await until(lambda: counter.totals[0])
+        await counter.set("ok")
+        assert await count(await connect(port), b"a", 1) == b"6"
+        await counter.set("fresh")
+        assert await count(await connect(port), b"a", 1) == b"1"
+        counter.close()
+
+    run(scenario)
+
+
+def test_a_split_has_two_sides_and_a_counter_that_is_down_comes_back_at_its_address() -> None:
+    async def scenario() -> None:
+        counter = Counter(asyncio.get_running_loop())
+        ports = await counter.start(2)
+        one, two = await connect(ports[0]), await connect(ports[1])
+        assert await count(one, b"a", 1) == b"1"
+        await counter.set("split")
+        assert await count(one, b"a", 1) == b"2" and await count(two, b"a", 5) == b"6"
+        await counter.set("down")
+        with pytest.raises(ConnectionRefusedError):
+            await connect(ports[0])
+        await counter.set("ok")
+        assert await count(await connect(ports[1]), b"a", 0) == b"2"
+        counter.close()
+
+    run(scenario)
+
+
+def test_late_answers_noise_and_a_move() -> None:
+    async def scenario() -> None:
+        counter = Counter(asyncio.get_running_loop())
+        ports = await counter.start(1)
+        client = await connect(ports[0])
+        await counter.set("late", 0.05)
+        before = time.monotonic()
+        assert await count(client, b"a", 1) == b"1"
+        assert time.monotonic() - before >= 0.045
+        await counter.set("busy")
+        assert str(await count(client, b"a", 1)) == "BUSY"
+        await counter.set("ok")
+        new = await counter.move(0)
+        assert new != ports[0]
+        with pytest.raises(ConnectionRefusedError):
+            await connect(ports[0])
+        assert await count(client, b"a", 1) == b"2"  # the open one goes on for a while
+        with pytest.raises(EOFError):
+            await client.answer()
+        assert await count(await connect(new), b"a", 1) == b"3"
+        counter.close()
+
+    run(scenario)
+
+
+# Discovery
+
+
+def entry(lifecycle: str = "SERVING", started: int = 0) -> Row:
+    return {"zone": "a", "machineType": "m", "cell": 0, "lifecycle": lifecycle, "weight": 1.0,
+            "startedAtMs": started}  # fmt: skip
+
+
+class Watching:
+    """Reads a watch as a limiter would."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def open(cls, port: int, index: int = 0) -> "Watching":
+        reader, writer = await asyncio.open_connection(Place.host, port)
+        writer.write(b"GET /v1/endpoints?stream=1&index=%d HTTP/1.1\r\nHost: x\r\n\r\n" % index)
+        assert b"200 OK" in await soon(reader.readuntil(b"\r\n\r\n"))
+        return cls(reader, writer)
+
+    async def line(self) -> Any:
+        while True:
+            size = int(await soon(self.reader.readline()), 16)
+            text = (await soon(self.reader.readexactly(size + 2))).strip()
+            if text:
+                return json.loads(text)
+
+
+def agent_of(fleet: Fleet, rows: list[Row], **more: Any) -> Agent:
+    agent = Agent(asyncio.get_running_loop(), 0, 0.0, lambda e: "127.0.0.1:9", rows.append, **more)
+    fleet.agents.append(agent)
+    return agent
+
+
+def test_a_watch_gets_the_whole_list_then_changes_and_the_telling_is_noted() -> None:
+    async def scenario() -> None:
+        fleet, rows = Fleet(), []
+        agent = agent_of(fleet, rows)
+        fleet.add({"instanceId": "s-1", **entry()})
+        watch = await Watching.open(await agent.start())
+        first = await watch.line()
+        assert first["reset"] and [i["instanceId"] for i in first["instances"]] == ["s-1"]
+        fleet.change("s-1", **entry("DRAINING"))
+        told = await watch.line()
+        assert not told["reset"] and told["instances"][0]["lifecycle"] == "DRAINING"
+        assert [(r["s"], r["state"], r["arrived"]) for r in rows] == [
+            ("s-1", "SERVING", True), ("s-1", "DRAINING", True)]  # fmt: skip
+        fleet.change("s-1", **entry("DELETED"))
+        assert (await watch.line())["instances"][0]["lifecycle"] == "DELETED"
+        again = await Watching.open(agent.port, index=told["generation"])
+        assert (await again.line())["instances"][0]["lifecycle"] == "DELETED"
+        agent.close()
+
+    run(scenario)
+
+
+def test_a_silent_agent_keeps_what_comes_and_tells_it_later() -> None:
+    async def scenario() -> None:
+        fleet, rows = Fleet(), []
+        agent = agent_of(fleet, rows)
+        fleet.add({"instanceId": "s-1", **entry()})
+        watch = await Watching.open(await agent.start())
+        await watch.line()
+        agent.set_silent(True)
+        fleet.change("s-1", **entry("DRAINING"))
+        await until(lambda: agent.waiting)
+        assert len(rows) == 1
+        agent.set_silent(False)
+        assert (await watch.line())["instances"][0]["lifecycle"] == "DRAINING"
+        agent.close()
+
+    run(scenario)
+
+
+def test_who_does_not_listen_counts_as_told_after_a_while() -> None:
+    async def scenario() -> None:
+        fleet, rows = Fleet(), []
+        agent_of(fleet, rows, told_within_s=0.02)
+        fleet.add({"instanceId": "s-1", **entry()})
+        fleet.change("s-1", **entry("DRAINING"))
+        await until(lambda: rows)
+        assert (rows[0]["state"], rows[0]["arrived"]) == ("DRAINING", False)
+
+    run(scenario)
+
+
+def test_what_is_no_request_to_discovery_is_refused() -> None:
+    async def scenario() -> None:
+        agent = agent_of(Fleet(), [])
+        reader, writer = await asyncio.open_connection(Place.host, await agent.start())
+        writer.write(b"POST /v1/endpoints HTTP/1.1\r\n\r\n")
+        assert b"404" in await soon(reader.readline())
+        agent.close()
+
+    run(scenario)
+
+
+# The proxy
+
+
+class Echo:
+    """Answers every line with itself, after a proxy."""
+
+    async def start(self) -> tuple[Proxy, asyncio.StreamReader, asyncio.StreamWriter]:
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while line := await reader.readline():
+                writer.write(line)
+
+        self.server = await asyncio.start_server(talk, Place.host, 0)
+        port = self.server.sockets[0].getsockname()[1]
+        proxy = Proxy(asyncio.get_running_loop(), lambda: port)
+        reader, writer = await asyncio.open_connection(Place.host, await proxy.start())
+        writer.write(b"first\n")
+        assert await soon(reader.readline()) == b"first\n"
+        return proxy, reader, writer
+
+
+def through(mode: str, check: Callable[[Proxy, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+            **more: Any) -> None:  # fmt: skip
+    async def scenario() -> None:
+        echo = Echo()
+        proxy, reader, writer = await echo.start()
+        proxy.set(mode, **more)
+        writer.write(b"0123456789\n")
+        await check(proxy, reader, writer)
+        proxy.close()
+        echo.server.close()
+
+    run(scenario)
+
+
+def test_proxy_delay_trickle_and_garbage() -> None:
+    async def late(proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        before = time.monotonic()
+        assert await soon(reader.readline()) == b"0123456789\n"
+        assert time.monotonic() - before >= 0.08  # both ways
+
+    async def slow(proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        parts = []
+        while sum(map(len, parts)) < 11:
+            parts.append(await soon(reader.read(100)))
+        assert b"".join(parts) == b"0123456789\n" and len(parts) >= 5
+
+    async def noisy(proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        assert await soon(reader.readline()) == b"0123456789\n"
+        assert b"noise" in await soon(reader.readuntil(b"noise"))
+
+    through("delay", late, delay_s=0.05)
+    through("trickle", slow)
+    through("garbage", noisy)
+
+
+def test_proxy_cuts_at_a_byte_by_a_reset_or_an_end() -> None:
+    async def reset(proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with pytest.raises(ConnectionResetError):
+            while await soon(reader.read(100)):
+                pass
+
+    async def ended(proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        assert await soon(reader.read()) == b"0123"
+
+    through("reset", reset, byte=4)
+    through("truncate", ended, byte=4)
+
+
+def test_proxy_silence_says_nothing_and_resets_when_it_is_over() -> None:
+    async def silent(proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(1), 0.2)
+        other, second = await asyncio.open_connection(Place.host, proxy.port)  # comes up, and stays mute
+        second.write(b"x\n")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(other.read(1), 0.1)
+        proxy.set("pass")
+        with pytest.raises(ConnectionResetError):
+            await soon(reader.read(1))
+
+    through("silence", silent)
+
+
+def test_proxy_refuses_new_connections_only() -> None:
+    async def refuses(proxy: Proxy, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        assert await soon(reader.readline()) == b"0123456789\n"
+        other, second = await asyncio.open_connection(Place.host, proxy.port)
+        with pytest.raises(ConnectionResetError):
+            second.write(b"x\n")
+            await soon(other.read(1))
+
+    through("refuse", refuses)
+
+
+def test_hiredis_reads_what_the_stand_ins_write() -> None:
+    parser = hiredis.Reader()
+    parser.feed(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+    assert parser.gets() == [b"v", None, None]
