Free the places of idle clients, and charge a window's debt once

(1) Clients hold a third of the descriptors for requests at most. Those that ask once and keep their connection filled these places, so half of the tries never reached a limiter: 5,800 of 10,800, a steady 64 a second each, 128 places at 2 s. (2) At a window's start the first caller hands on what is missing from the store; all others took that for new spending, though their own room had it, and the amount was that of an old answer.

Change: beyond 0.35 of the clients' share the longest idle connection goes.

--- /dev/null
+++ b/aniseshed/account.py
@@ -0,0 +1,260 @@
+"""A customer's quota as one limiter sees it: slice, belief of the whole store, word to the counter.
+
+The counter keeps one number for a customer and a window of time: the sum of what all limiters told it.  Each
+answer tells what the others added, and so what is left of the quota.  Three things make that hard, and each
+has one place here:
+
+- *Who tells what.*  Units are told once, by the limiter that charged them, with a question or later.
+  Those asked for and not granted, or charged for a request of which nothing was sent, are taken back.
+- *A new window* begins at zero, though the store does not.  The first limiter to call hands on what is
+  missing from the store by its own account of now.  Every other limiter sees that as an addition by another;
+  what it knows of already it must not take twice (``expected``).
+- *Silence.*  A call that timed out is taken for added.
+
+Every unit is accounted for: ``told + unreported + out`` is ``charged + handed + forgotten`` after every step.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+SECOND_NS = 1_000_000_000
+WINDOW_BURSTS = 2.5  # life of a count, in times to refill the burst: long against what its end loses
+NAME_BITS = 33  # of a count's name that tell the customer; the others tell the window
+LONGEST_LIFE_NS = 60 * SECOND_NS  # no counter keeps a name longer
+ROOM_FLOOR = -0.5  # of the burst: the most that tries beyond the quota leave as a debt
+REPORT_SHARE = 0.12  # of a slice of the room left: local spends as large are told unasked
+ROUNDING = 0.01  # of a unit: totals come with seven digits
+CALLS_A_TIMEOUT = 20.0  # calls that the counter is first thought to serve in one of its time-outs, for all
+CALL_FASTER, CALL_SLOWER = 0.97, 1.3  # times the gap between calls, for an answer, for a miss
+CALL_RANGE = 8.0  # how far the gap may go from the first guess, and how far misses in a row slow it
+CALLS_SAVED = 4.0  # calls that a quiet while leaves for a busy one; telling local spends leaves half of them
+
+
+class SmoothBursty:
+    """Guava's bucket: stored permits go first, the shortfall is taken ahead and the next one waits."""
+
+    def __init__(self, now_ns: int, rate: float, burst: float, stored: float) -> None:
+        self.stored_permits, self.max_permits = stored, burst
+        self.stable_interval_ns, self.next_free_ticket_ns = SECOND_NS / rate, now_ns
+
+    def resync(self, now_ns: int) -> None:
+        if now_ns > self.next_free_ticket_ns:
+            fresh = (now_ns - self.next_free_ticket_ns) / self.stable_interval_ns
+            self.stored_permits = min(self.max_permits, self.stored_permits + fresh)
+            self.next_free_ticket_ns = now_ns
+
+    def reserve(self, permits: float) -> int:
+        """Take permits (settling may give some back: below 0); the ticket at which they are free."""
+        ticket_ns, spend = self.next_free_ticket_ns, min(permits, self.stored_permits)
+        self.stored_permits = min(self.max_permits, self.stored_permits - spend)
+        self.next_free_ticket_ns += round((permits - spend) * self.stable_interval_ns)
+        return ticket_ns
+
+
+class Pace:
+    """Guards against a counter so crowded or slow that it answers nobody: each limiter paces its calls by
+    what it sees.  Could refuse where a slow counter would still have answered."""
+
+    def __init__(self, limiters: int, timeout_ns: int) -> None:
+        self.gap_ns = self.first_ns = max(1, limiters * timeout_ns / CALLS_A_TIMEOUT)
+        self.calls = SmoothBursty(0, SECOND_NS / self.gap_ns, CALLS_SAVED, CALLS_SAVED)
+        self.misses = 0  # in a row
+
+    def free(self, now_ns: int, saved: float) -> bool:
+        """Whether a call may go now that leaves all but ``saved`` of those saved up."""
+        self.calls.resync(now_ns)
+        return self.calls.next_free_ticket_ns <= now_ns and self.calls.stored_permits >= saved
+
+    def call(self) -> None:
+        self.calls.reserve(1.0)
+
+    def ended(self, heard: bool) -> None:
+        """An answer speeds up a little, the first miss of a row slows down, and each further one more."""
+        change = CALL_FASTER if heard else CALL_SLOWER if not self.misses else 1.0
+        self.gap_ns = min(max(self.gap_ns * change, self.first_ns / CALL_RANGE), self.first_ns * CALL_RANGE)
+        # Guards against an overflow in a long outage.
+        self.misses = 0 if heard else min(self.misses + 1, int(CALL_RANGE))
+        self.calls.stable_interval_ns = self.gap_ns * min(2.0**self.misses, CALL_RANGE)
+
+
+@dataclass(slots=True, eq=False)
+class Question:
+    """A call to the counter: units asked for, and local spends told with it; both in units of the quota."""
+
+    account: Account
+    request_id: int  # -1 if it only tells
+    name: int
+    units: float
+    local: float
+
+    @property
+    def amount(self) -> float:
+        return self.units + self.local
+
+
+@dataclass(slots=True, eq=False)
+class Account:
+    """One customer at one limiter.  Times in nanoseconds, amounts in units, ``rate`` in units a second."""
+
+    name: int
+    rate: float
+    burst: float
+    set_size: float  # limiters over which the customer's requests come
+    bucket: SmoothBursty
+    ceiling: SmoothBursty
+    window_ns: int
+    room: float  # what the whole quota is believed to hold
+    room_ns: int
+    seen_ns: int
+    spilled: float = math.inf  # refill that found no place since the last answer
+    total: float | None = None  # of the count at the last answer
+    mine: float = 0.0  # what this limiter added in the count's present life
+    window: int = 0  # of the last answer
+    asked_window: int = 0  # of the last question
+    expected: float = 0.0  # of the debt that another hands on in this window: it is in the room already
+    unreported: float = 0.0
+    open: int = 0  # attempts out
+    calls: int = 0  # questions out
+    told: float = field(default=0.0)  # the books: see check()
+    out: float = 0.0
+    charged: float = 0.0
+    handed: float = 0.0
+    forgotten: float = 0.0
+
+    @classmethod
+    def fresh(
+        cls, now_ns: int, name: int, set_size: float, quota: tuple[float, float], ceiling: tuple[float, float]
+    ) -> Account:
+        """An unseen customer: full, by its slice and by belief.  Quota and ceiling are rate and burst; a rate
+        of 0 is none.  The slice of a ceiling starts empty, since a start forgets what was spent."""
+        rate, burst = quota if min(quota) > 0 else (1.0, 1.0)
+        part = (ceiling[0] / set_size, ceiling[1] / set_size, 0.0)
+        if ceiling[0] <= 0:
+            part = (1.0, math.inf, math.inf)
+        return cls(
+            name=name,
+            rate=rate,
+            burst=burst,
+            set_size=set_size,
+            bucket=SmoothBursty(now_ns, rate / set_size, burst / set_size, burst / set_size),
+            ceiling=SmoothBursty(now_ns, *part),
+            window_ns=min(round(WINDOW_BURSTS * burst / rate * SECOND_NS), LONGEST_LIFE_NS),
+            room=burst,
+            room_ns=now_ns,
+            seen_ns=now_ns,
+        )
+
+    def count_name(self, now_ns: int) -> int:
+        """The name of the present window's count; all limiters come to the same by their clocks."""
+        return (self.name + (now_ns // self.window_ns << NAME_BITS)) % (1 << 64)
+
+    def refill(self, now_ns: int) -> float:
+        full = self.room + self.rate * (now_ns - self.room_ns) / SECOND_NS
+        self.room, self.room_ns = min(self.burst, full), now_ns
+        self.spilled += full - self.room
+        return self.room
+
+    def spend(self, now_ns: int, units: float) -> None:
+        """Take units from the room, or put them back if below 0; a debt has a floor."""
+        self.room = min(self.burst, max(self.refill(now_ns) - units, ROOM_FLOOR * self.burst))
+
+    def charge(self, now_ns: int, units: float) -> None:
+        """Units that this limiter spends by itself; the counter is told later."""
+        self.spend(now_ns, units)
+        self.unreported += units
+        self.charged += units
+
+    def give_back(self, now_ns: int, units: float, from_slice: bool) -> None:
+        """Units that were charged and never used."""
+        self.charge(now_ns, -units)
+        if from_slice:
+            self.bucket.reserve(-units)
+
+    def wants_to_tell(self) -> bool:
+        """Unreported spends are an error in everyone's view: it is kept to a part of the room left."""
+        return self.unreported >= REPORT_SHARE * max(0.0, self.room) / self.set_size
+
+    def ask(self, now_ns: int, request_id: int, units: float) -> Question:
+        """A question for these units, which tells all local spends since the last one."""
+        window = now_ns // self.window_ns
+        if window != self.asked_window:
+            # Guards against taking back from a window what another was charged, and against telling in it
+            # what has long refilled.
+            owed = min(max(0.0, self.unreported), max(0.0, self.burst - self.refill(now_ns)))
+            self.forgotten += owed - self.unreported
+            self.unreported, self.asked_window = owed, window
+        local, self.unreported = self.unreported, 0.0
+        self.out += local
+        self.calls += 1
+        return Question(self, request_id, self.count_name(now_ns), units, local)
+
+    def heard(self, now_ns: int, question: Question, total: float) -> bool:
+        """An answer; whether it grants what was asked.  The units are charged if it does."""
+        self.end(question)
+        self.told += question.amount
+        if question.name == self.count_name(now_ns):
+            self.learn(now_ns, total, question)
+            if question.units > 0 and self.room >= question.units:
+                self.spend(now_ns, question.units)
+                self.charged += question.units
+                return True
+        self.take_back(now_ns, question)
+        return False
+
+    def take_back(self, now_ns: int, question: Question) -> None:
+        """Units that were added and not granted: they are taken from the window in which they stand."""
+        if question.name == self.count_name(now_ns):
+            self.unreported -= question.units
+        else:
+            self.forgotten += question.units  # with their window
+
+    def not_added(self, question: Question) -> None:
+        """The counter turned the call away, or never got it."""
+        self.end(question)
+        self.unreported += question.local
+
+    def missed(self, now_ns: int, question: Question) -> None:
+        """No answer in time: taken for added."""
+        self.end(question)
+        self.told += question.amount
+        self.take_back(now_ns, question)
+        if self.total is not None:
+            self.total += question.amount
+
+    def end(self, question: Question) -> None:
+        self.calls -= 1
+        self.out -= question.local
+
+    def learn(self, now_ns: int, total: float, question: Question) -> None:
+        """Take from the room what others added since the last answer, or since the window began."""
+        added, window = question.amount, now_ns // self.window_ns
+        elapsed_s = now_ns % self.window_ns / SECOND_NS
+        room = self.refill(now_ns)
+        # A new window or lost counts, one case for both.
+        if self.total is None or self.window != window or total < self.mine + added - ROUNDING:
+            # What is missing from the store by this limiter's own account, but for what it tells just now.
+            debt = max(0.0, self.burst - room - max(0.0, question.local))
+            known, self.expected = self.total is not None, 0.0
+            if known and total <= added + ROUNDING:
+                # The first to call hands it on, or each window would grant a burst anew.
+                self.unreported += debt
+                self.handed += debt
+            elif known and self.window + 1 == window:
+                self.expected = debt
+            self.window, self.total, self.mine = window, 0.0, 0.0
+            self.spilled = min(self.spilled, self.rate * elapsed_s)
+        others = total - (self.total or 0.0) - added
+        self.total, self.mine = total, self.mine + added
+        # Guards against taking twice what this limiter knew of when the window began.
+        again = min(self.expected, max(0.0, others))
+        self.expected -= again
+        others -= again
+        # Guards against believing a customer seldom seen here to be spent: others took the spilled first.
+        self.spend(now_ns, max(0.0, others - self.spilled) if others > 0 else others)
+        self.spilled = 0.0
+
+    def check(self) -> float:
+        """How far the books are from balanced, in units: 0 but for rounding."""
+        return self.told + self.unreported + self.out - self.charged - self.handed - self.forgotten
--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -1,6 +1,7 @@
 """Every decision of aniseshed; its types, events and actions are in aniseshed/interface.py.
 
-What a customer's slice, a SmoothBursty, cannot pass is asked of the counter, then held or refused."""
+What a customer's slice, a SmoothBursty, cannot pass is asked of the counter, then held or refused; the books
+of its quota are in aniseshed/account.py."""
 
 from __future__ import annotations
 
@@ -11,20 +12,11 @@
 from collections.abc import Callable
 
 from aniseshed import interface as api
+from aniseshed.account import CALLS_SAVED, SECOND_NS, Account, Pace, Question
 from aniseshed.interface import Group, Health, ListKind, Outcome, Repeat
-from aniseshed.state import Attempt, Customer, Level, Server, Work, apply_list
+from aniseshed.state import Attempt, Level, Server, Work, apply_list
 
-SECOND_NS = 1_000_000_000
-WINDOW_BURSTS = 2.5  # life of a count, in times to refill the burst: long against what its end loses
-NAME_BITS = 33  # of a count's name that tell the customer; the others tell the window
-LONGEST_LIFE_NS = 60 * SECOND_NS  # no counter keeps a name longer
-ROOM_FLOOR = -0.5  # of the burst: the most that tries beyond the quota leave as a debt
-REPORT_SHARE = 0.12  # of a slice of the room left: local spends as large are told unasked
 COUNTER_WAITS = 3.0  # counter time-outs that a client must have left for a question
-CALLS_A_TIMEOUT = 20.0  # calls that the counter is first thought to serve in one of its time-outs, for all
-CALL_FASTER, CALL_SLOWER = 0.97, 1.3  # times the gap between calls, for an answer, for a miss
-CALL_RANGE = 8.0  # how far the gap may go from the first guess, and how far misses in a row slow it
-CALLS_SAVED = 4.0  # calls that a quiet while leaves for a busy one; telling local spends leaves half of them
 HOLD_AIM = 0.4  # of the aim: the longest hold that still leaves time to be served
 IDLE_WINDOWS = 2.0  # windows without traffic after which a bucket is full anyway and forgotten
 GAIN = 0.1  # weight of one answer in the running means: about ten answers to believe a change
@@ -49,41 +41,19 @@
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
-class SmoothBursty:
-    """Guava's bucket: stored permits go first, the shortfall is taken ahead and the next one waits."""
-
-    def __init__(self, now_ns: int, rate: float, burst: float, stored: float) -> None:
-        self.stored_permits, self.max_permits = stored, burst
-        self.stable_interval_ns, self.next_free_ticket_ns = SECOND_NS / rate, now_ns
-
-    def resync(self, now_ns: int) -> None:
-        if now_ns > self.next_free_ticket_ns:
-            fresh = (now_ns - self.next_free_ticket_ns) / self.stable_interval_ns
-            self.stored_permits = min(self.max_permits, self.stored_permits + fresh)
-            self.next_free_ticket_ns = now_ns
-
-    def reserve(self, permits: float) -> int:
-        """Take permits (settling may give some back: below 0); the ticket at which they are free."""
-        ticket_ns, spend = self.next_free_ticket_ns, min(permits, self.stored_permits)
-        self.stored_permits = min(self.max_permits, self.stored_permits - spend)
-        self.next_free_ticket_ns += round((permits - spend) * self.stable_interval_ns)
-        return ticket_ns
-
-
 class Limiter:
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
         self.now_ns, self.actions = 0, list[api.Action]()
-        self.customers: dict[int, Customer] = {}
+        self.customers: dict[int, Account] = {}
         self.servers: dict[bytes, Server] = {}
         self.ring, self.ejected = list[Server](), set[Server]()
         self.work: dict[int, Work] = {}
         self.flights: dict[tuple[int, int], Attempt] = {}
         self.timers: dict[int, tuple[Callable[..., object], Work | None]] = {}
-        self.calls_out: dict[int, deque[tuple[Customer, int, float, float]]] = {}  # by name of the count
-        self.token, self.misses, self.limiters = 0, 0, max(1, settings.limiters)
-        self.gap_ns = self.first_ns = max(1, self.limiters * settings.counter_timeout_ns / CALLS_A_TIMEOUT)
-        self.calls = SmoothBursty(0, SECOND_NS / self.gap_ns, CALLS_SAVED, CALLS_SAVED)
+        self.questions: dict[int, deque[Question]] = {}  # that are out, by name of the count
+        self.token, self.limiters = 0, max(1, settings.limiters)
+        self.pace = Pace(self.limiters, settings.counter_timeout_ns)
         self.usual_ns = [0.0] * len(settings.classes)  # of one unit's answer
         self.longest_ns = [0] * len(settings.classes)
         self.young: list[deque[Attempt]] = [deque() for _ in settings.classes]
@@ -140,11 +110,11 @@
         else:
             self.admit(work, customer)
 
-    def admit(self, work: Work, customer: Customer) -> None:
+    def admit(self, work: Work, customer: Account) -> None:
         """The ordinary path: the slice, then the counter, then the ticket."""
         customer.bucket.resync(self.now_ns)
         # Guards against slices and grants together passing the quota: of a spent one, a slice is nothing.
-        short = customer.total is not None and self.refill(customer) < work.units
+        short = customer.total is not None and customer.refill(self.now_ns) < work.units
         timely = work.request.patience_ns > COUNTER_WAITS * self.settings.counter_timeout_ns
         call = timely and not short and self.may_call(1 + (CALLS_SAVED - 1) * (1 - work.rank))
         # Guards against all limiters of a large set taking ahead at once what none of their slices can hold.
@@ -153,114 +123,73 @@
         if not call and customer.bucket.max_permits < work.units and self.pressed(work, RAISE_AT):
             self.refuse(work, work.kind.aim_ns)  # guards against bursts nobody vouches for
         elif customer.bucket.next_free_ticket_ns <= self.now_ns and not short and not sliver:
-            customer.bucket.reserve(work.units)
-            self.spend_locally(customer, work.units)
+            self.charge(work)
             self.send(work)
         elif call:
             self.count(customer, work.request.request_id, work.units)
         else:
             self.hold(work)
 
-    def customer_of(self, request: api.Request, plan: api.Plan) -> Customer:
+    def customer_of(self, request: api.Request, plan: api.Plan) -> Account:
         customer = self.customers.pop(request.customer, None)
         if customer is None:
             now_ns, size = self.now_ns, min(max(1.0, request.set_size), self.limiters)
-            rate, burst = (plan.rate, plan.burst) if plan.rate > 0 and plan.burst > 0 else (1.0, 1.0)
-            bounds = (plan.ceiling_rate / size, plan.ceiling_burst / size, 0.0)  # empty: starts forget
-            ceiling = SmoothBursty(now_ns, *(bounds if plan.ceiling_rate > 0 else (1.0, math.inf, math.inf)))
-            bucket = SmoothBursty(now_ns, rate / size, burst / size, burst / size)
-            customer = Customer(request.customer, rate, burst, size, bucket, ceiling, burst, now_ns, now_ns)
+            quota, ceiling = (plan.rate, plan.burst), (plan.ceiling_rate, plan.ceiling_burst)
+            customer = Account.fresh(now_ns, request.customer, size, quota, ceiling)
             for old in list(self.customers.values()):  # in order of last use
-                if old.calls or old.open or now_ns - old.seen_ns < IDLE_WINDOWS * self.window_ns(old):
+                if old.calls or old.open or now_ns - old.seen_ns < IDLE_WINDOWS * old.window_ns:
                     break
                 del self.customers[old.name]
         self.customers[request.customer] = customer
         customer.seen_ns = self.now_ns
         return customer
 
-    def window_ns(self, customer: Customer) -> int:
-        return min(round(WINDOW_BURSTS * customer.burst / customer.rate * SECOND_NS), LONGEST_LIFE_NS)
-
-    def name_of(self, customer: Customer) -> int:
-        return (customer.name + (self.now_ns // self.window_ns(customer) << NAME_BITS)) % (1 << 64)
-
-    def refill(self, customer: Customer) -> float:
-        full = customer.room + customer.rate * (self.now_ns - customer.room_ns) / SECOND_NS
-        customer.room, customer.room_ns = min(customer.burst, full), self.now_ns
-        customer.spilled += full - customer.room
-        return customer.room
-
-    def spend(self, customer: Customer, units: float) -> None:
-        customer.room = min(customer.burst, max(self.refill(customer) - units, ROOM_FLOOR * customer.burst))
-
-    def learn(self, customer: Customer, total: float, added: float) -> None:
-        """Take from the room what others added since the last answer, or since the window began."""
-        window_ns = self.window_ns(customer)
-        window, elapsed_s = self.now_ns // window_ns, self.now_ns % window_ns / SECOND_NS
-        # A new window or lost counts, one case for both.
-        if customer.total is None or customer.window != window or total < customer.mine + added - 0.01:
-            if customer.total is not None and total <= added + 0.01:
-                # The first to call then hands on what is missing, or each window would grant a burst anew.
-                customer.unreported += max(0.0, customer.burst - customer.left)
-            customer.window, customer.total, customer.mine = window, 0.0, 0.0
-            customer.spilled = min(customer.spilled, customer.rate * elapsed_s)
-        others = total - customer.total - added
-        customer.total, customer.mine = total, customer.mine + added
-        # Guards against believing a customer seldom seen here to be spent: others took the spilled first.
-        self.refill(customer)
-        self.spend(customer, max(0.0, others - customer.spilled) if others > 0 else others)
-        customer.spilled, customer.left = 0.0, customer.room
-
     def may_call(self, saved: float) -> bool:
-        """Guards against a counter so crowded or slow that it answers nobody: each limiter paces its calls
-        by what it sees.  Could refuse where a slow counter would still have answered."""
-        self.calls.resync(self.now_ns)
-        free = self.calls.next_free_ticket_ns <= self.now_ns
-        return self.settings.has_counter and free and self.calls.stored_permits >= saved
+        return self.settings.has_counter and self.pace.free(self.now_ns, saved)
 
-    def count(self, customer: Customer, request_id: int, units: float) -> None:
+    def count(self, customer: Account, request_id: int, units: float) -> None:
         """Call the counter with these units and all local spends since the last call."""
-        local, customer.unreported = customer.unreported, 0.0
-        name = self.name_of(customer)
-        self.calls_out.setdefault(name, deque()).append((customer, request_id, units, local))
-        customer.calls += 1
-        self.calls.reserve(1.0)
-        self.actions.append(api.Count(name, units + local, self.window_ns(customer)))
-
-    def spend_locally(self, customer: Customer, units: float) -> None:
-        """Unreported spends are an error in everyone's view: it is kept to a part of the room left."""
-        self.spend(customer, units)
-        customer.unreported += units
-        large = REPORT_SHARE * max(0.0, customer.room) / customer.set_size
-        if customer.unreported >= large and self.may_call(CALLS_SAVED / 2):
+        question = customer.ask(self.now_ns, request_id, units)
+        self.questions.setdefault(question.name, deque()).append(question)
+        self.pace.call()
+        self.actions.append(api.Count(question.name, question.amount, customer.window_ns))
+
+    def charge(self, work: Work) -> None:
+        """Take a request's units from the slice, and tell the counter if that is much of what is left."""
+        customer, work.charged, work.from_slice = work.customer, work.units, True
+        customer.bucket.reserve(work.units)
+        customer.charge(self.now_ns, work.units)
+        if customer.wants_to_tell() and self.may_call(CALLS_SAVED / 2):
             self.count(customer, -1, 0.0)
 
+    def give_back(self, work: Work) -> None:
+        """What was charged for a request of which nothing was sent belongs to its customer again."""
+        units, work.charged = work.charged, 0.0
+        if units and not work.attempts:
+            work.customer.give_back(self.now_ns, units, work.from_slice)
+
     def on_counted(self, event: api.Counted) -> None:
-        if not (asked := self.calls_out.get(event.name)):
+        if not (asked := self.questions.get(event.name)):
             return
-        customer, request_id, units, local = asked.popleft()
+        question = asked.popleft()
         if not asked:
-            del self.calls_out[event.name]
-        customer.calls -= 1
-        work, heard = self.work.get(request_id), event.outcome is Outcome.OK
-        change = CALL_FASTER if heard else CALL_SLOWER if not self.misses else 1.0
-        self.gap_ns = min(max(self.gap_ns * change, self.first_ns / CALL_RANGE), self.first_ns * CALL_RANGE)
-        self.misses = 0 if heard else min(self.misses + 1, int(CALL_RANGE))  # a long outage must not overflow
-        self.calls.stable_interval_ns = self.gap_ns * min(2.0**self.misses, CALL_RANGE)
-        if heard and math.isfinite(event.total) and event.name == self.name_of(customer):
-            self.learn(customer, event.total, units + local)
-            if work and work.asking and customer.room >= units:
-                self.spend(customer, units)
+            del self.questions[event.name]
+        customer, work = question.account, self.work.get(question.request_id)
+        heard = event.outcome is Outcome.OK and math.isfinite(event.total)
+        self.pace.ended(event.outcome is Outcome.OK)
+        waits = work is not None and work.asking
+        if heard and customer.heard(self.now_ns, question, event.total):
+            if work and waits:
+                work.charged, work.from_slice = question.units, False
                 return self.send(work)
-            customer.unreported -= max(0.0, units)
-            if customer.unreported < 0 and self.may_call(1.0):
-                self.count(customer, -1, 0.0)
+            customer.give_back(self.now_ns, question.units, False)  # the client has gone meanwhile
         elif event.outcome in NEVER_RAN:
-            customer.unreported += local
-        elif not heard and customer.total is not None:  # a call that timed out is taken for added
-            customer.total += units + local
-            customer.unreported -= units
-        if work and work.asking:
+            customer.not_added(question)
+        elif not heard:
+            customer.missed(self.now_ns, question)
+        if heard and customer.unreported < 0 and self.may_call(1.0):
+            self.count(customer, -1, 0.0)
+        if work and waits:
             self.hold(work)
 
     def hold(self, work: Work) -> None:
@@ -271,17 +200,18 @@
         customer.bucket.resync(self.now_ns)
         wait_ns = customer.bucket.next_free_ticket_ns - self.now_ns
         if customer.total is not None:
-            wait_ns = max(wait_ns, round((work.units - self.refill(customer)) / customer.rate * SECOND_NS))
+            short = work.units - customer.refill(self.now_ns)
+            wait_ns = max(wait_ns, round(short / customer.rate * SECOND_NS))
         if wait_ns > HOLD_AIM * (work.aim_ns - self.now_ns):
             return self.refuse(work, wait_ns)
-        customer.bucket.reserve(work.units)
-        self.spend_locally(customer, work.units)  # told now, so that nobody grants it meanwhile
+        self.charge(work)  # told now, so that nobody grants it meanwhile
         self.timer(wait_ns, self.send, work)
 
     def refuse(self, work: Work, wait_ns: int) -> None:
         """The final answer without success: a refusal only where a repeat is harmless."""
         request_id, kind = work.request.request_id, work.kind
         del self.work[request_id]
+        self.give_back(work)
         harmless = kind.repeat is Repeat.SAFE or (kind.repeat is Repeat.KEYED and kind.group is Group.ALL)
         refusable = harmless or not any(a.may_have_run for a in work.attempts)
         advice_ns = min(max(0, wait_ns), self.settings.max_retry_after_ns) if self.settings.may_advise else 0
@@ -389,6 +319,8 @@
     def end(self, event: api.HungUp | api.StreamBegun | api.AttemptEnded) -> None:
         """The request is over: forget it and wait for none of its other attempts."""
         work = self.work.pop(event.request_id, None)
+        if work:
+            self.give_back(work)
         own = None if isinstance(event, api.HungUp) else event.attempt
         for number, attempt in enumerate(work.attempts if work else ()):
             if attempt.out and number != own and self.settings.may_cancel:
@@ -410,8 +342,7 @@
             more = event.settled_units - attempt.units
             attempt.customer.bucket.resync(self.now_ns)
             attempt.customer.bucket.reserve(more)
-            self.spend(attempt.customer, more)
-            attempt.customer.unreported += more
+            attempt.customer.charge(self.now_ns, more)
         work = self.work.get(event.request_id)
         if event.concluded or event.outcome is Outcome.OK:
             self.end(event)
--- a/aniseshed/state.py
+++ b/aniseshed/state.py
@@ -4,22 +4,9 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from aniseshed import interface as api
-
-
-class Bucket(Protocol):
-    """A customer's slice of a rate: the four fields of the design."""
-
-    stored_permits: float
-    max_permits: float
-    stable_interval_ns: float
-    next_free_ticket_ns: int
-
-    def resync(self, now_ns: int) -> None: ...
-
-    def reserve(self, permits: float) -> int: ...
+from aniseshed.account import Account
 
 
 @dataclass(slots=True)
@@ -41,29 +28,6 @@
         self.now += by
 
 
-@dataclass(slots=True, eq=False)
-class Customer:
-    """A customer's slice, and what the counter has told of the whole quota."""
-
-    name: int
-    rate: float
-    burst: float
-    set_size: float
-    bucket: Bucket
-    ceiling: Bucket
-    room: float  # what the whole quota is believed to hold
-    room_ns: int
-    seen_ns: int
-    left: float = 0.0  # of the room at the last answer
-    spilled: float = math.inf  # refill that found no place since the last answer
-    total: float | None = None
-    mine: float = 0.0  # what this limiter added in the count's present life
-    unreported: float = 0.0
-    open: int = 0
-    window: int = 0  # of the last answer
-    calls: int = 0
-
-
 @dataclass(slots=True, eq=False)
 class Server:
     """What this limiter has seen of one server."""
@@ -84,7 +48,7 @@
     """One attempt, kept until its end is told, whether or not its request still lives."""
 
     server: Server
-    customer: Customer
+    customer: Account
     index: int
     plan: int
     units: float
@@ -101,10 +65,12 @@
     kind: api.TrafficClass
     plan: api.Plan
     units: float
-    customer: Customer
+    customer: Account
     aim_ns: int
     rank: float = 1.0  # of its worth among what is asked, 1 from the mean upwards
     asking: bool = False
+    charged: float = 0.0  # units taken for it from the quota; they go back if nothing is ever sent
+    from_slice: bool = False  # and from the slice
     attempts: list[Attempt] = field(default_factory=list)
 
 
--- a/benchmarks/kit_rate.py
+++ b/benchmarks/kit_rate.py
@@ -1,10 +1,11 @@
 """How many requests a second the rehearsal kit drives before it runs late itself.
 
-    python benchmarks/kit_rate.py [RATE ...]
+    python benchmarks/kit_rate.py [--servers] [RATE ...]
 
 The limiters are replaced by a stub that answers at once, so that what is measured is the kit: clients,
-front, history and judgement.  For each rate: requests asked, the lateness of their leaving (p50 and p99, ms),
-the longest that a loop of the kit was held, and whether the run would have counted.
+front, history and judgement.  With --servers they are the plain policy's, six of them, which send all on, so
+that the stand-in servers work too.  For each rate: requests asked, the lateness of their leaving (p50 and
+p99, ms), the longest that a loop of the kit was held, and whether the run would have counted.
 """
 
 from __future__ import annotations
@@ -27,18 +28,28 @@
 STUB = (*PLAIN, "--stub")
 
 
-def plan_of(rate: int) -> plans.Plan:
+def plan_of(rate: int, servers: bool) -> plans.Plan:
     customers = 100
+    if servers:
+        search = plans.Class(name="search", aim_ms=750, deadline_ms=3000, work_ms=2)
+        fleet = plans.Fleet(servers=20, cores=8, connections=10_000)
+        limits = plans.Limiters(count=6, sockets=4096)
+        quota = plans.Quota(name="any", rate=rate / customers * 10, burst=rate)
+        desk = plans.Desk(
+            name="all", plan="any", customers=customers, usage=0.1, units=(1, 1), spread=6, claims=0
+        )
+        return plans.Plan(title=f"{rate} a second", length_s=LENGTH_S, plans=(quota,), desk=(desk,),
+                          classes=(search,), fleet=fleet, limiters=limits)  # fmt: skip
     quota = plans.Quota(name="any", rate=rate / customers * 10, burst=rate)
     desk = plans.Desk(name="all", plan="any", customers=customers, usage=0.1, units=(1, 1), spread=3)
     return plans.Plan(title=f"{rate} a second", length_s=LENGTH_S, plans=(quota,), desk=(desk,))
 
 
-async def measure(rate: int) -> tuple[str, bool]:
+async def measure(rate: int, servers: bool) -> tuple[str, bool]:
     with tempfile.TemporaryDirectory() as folder:
         kept = Path(folder) / "history"
-        plan = plan_of(rate)
-        await Play(plan, 1, STUB).run(kept)
+        plan = plan_of(rate, servers)
+        await Play(plan, 1, PLAIN if servers else STUB).run(kept)
         began = time.monotonic()
         head, rows = history.read(kept)
         plan = msgspec.convert(head["plan"], plans.Plan)
@@ -62,9 +73,9 @@
 
 
 def main() -> int:
-    best = 0
-    for rate in [int(word) for word in sys.argv[1:]] or RATES:
-        text, counts = asyncio.run(measure(rate))
+    best, servers = 0, "--servers" in sys.argv
+    for rate in [int(word) for word in sys.argv[1:] if word.isdigit()] or RATES:
+        text, counts = asyncio.run(measure(rate, servers))
         print(text, flush=True)
         best = max(best, rate if counts else 0)
     print(f"the kit drives {best} requests a second in time")
--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -21,6 +21,7 @@
 MOST_UNREAD = 1 << 20  # bytes of answers that a client has not read, beyond which it is dropped
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for 0.4 s
 LOOK_S = 0.25  # how often connections that have waited long enough are looked for
+IDLE_PART = 0.35  # of the connections at most that stand between requests: clients need places for theirs
 SETTLED_S = 0.1  # after which a connection may make room: a new one's first command comes sooner
 TOLD_S = 5.0  # how often the log tells how many were closed, and why
 
@@ -211,6 +212,8 @@
             if row:
                 row.members[self] = clients.loop.time()
             self.row = row
+            if row is clients.idle:
+                clients.trim()
 
     def leave(self) -> None:
         if self.row:
@@ -277,6 +280,13 @@
         self.closed["no room"] += 1
         victim.finish()
 
+    def trim(self) -> None:
+        """Guards against connections kept after one request holding the places others need for theirs."""
+        crowded = len(self.idle.members) > IDLE_PART * self.most
+        if crowded and (late := self.idle.longest(self.loop.time() - SETTLED_S)):
+            self.closed["idle in another's place"] += 1
+            late.finish()
+
     def look(self) -> None:
         """Guards against connections that say nothing, stop half-way or do not read: each has its time."""
         now_s = self.loop.time()
--- a/hookport/rehearsal/mutants.py
+++ b/hookport/rehearsal/mutants.py
@@ -16,6 +16,7 @@
 
 from aniseshed import interface as api
 from aniseshed import policy
+from aniseshed.account import SECOND_NS
 from hookport import __main__ as daemon
 from hookport import clients, node, resp, servers
 
@@ -176,7 +177,7 @@
     def make(old: Any) -> Any:
         def customer_of(self: Any, request: api.Request, plan: api.Plan) -> Any:
             customer = old(self, request, plan)
-            customer.bucket.stable_interval_ns = policy.SECOND_NS / plan.rate
+            customer.bucket.stable_interval_ns = SECOND_NS / plan.rate
             customer.bucket.max_permits = plan.burst
             customer.total = None
             return customer
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -173,6 +173,7 @@
 def test_who_never_asked_makes_room_first(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         monkeypatch.setattr(clients, "SETTLED_S", 0.0)
+        monkeypatch.setattr(clients, "IDLE_PART", 1.0)
         async with World(serve) as world:
             node = (await world.start()).node
             assert node
@@ -247,3 +248,25 @@
             assert await ended(client) == []
 
     run(scenario)
+
+
+def test_connections_kept_after_one_request_give_their_places_to_those_who_ask() -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            await world.start()
+            assert world.node
+            world.node.clients.most = 20
+            kept = [await world.client() for _ in range(7)]
+            for n, client in enumerate(kept):
+                assert await client.ask(*query(n)) == b"value"
+            await asyncio.sleep(clients.SETTLED_S + 0.02)
+            new = [await world.client() for _ in range(3)]
+            for n, client in enumerate(new):  # each, once served, takes the place of the longest idle
+                assert await client.ask(*query(10 + n)) == b"value"
+            for client in kept[:3]:
+                with pytest.raises(EOFError):
+                    await client.answer()
+            assert await kept[-1].ask(*query(20)) == b"value"
+            assert world.node.clients.closed["idle in another's place"] == 3
+
+    run(scenario)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -118,9 +118,10 @@
 
 def test_the_first_caller_of_a_window_hands_on_what_is_missing() -> None:
     bench = Bench()
+    bench.advance(4900 * MS)
     bench.ask(units=4.0)
-    bench.counted(45.0)  # others have spent the whole burst at the window's very start
-    bench.advance(5 * SECOND)  # into the next window
+    bench.counted(64.0)  # others have spent most of the burst at the window's very end
+    bench.advance(200 * MS)  # into the next window
     bench.ask(units=4.0)
     bench.counted(bench.unanswered[0].amount)  # nobody else has called yet
     assert bench.limiter.customers[1].unreported > 10
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -5,7 +5,7 @@
 from helpers import MS, SECOND, SETTINGS, START, Bench
 
 from aniseshed import interface as api
-from aniseshed.policy import SmoothBursty
+from aniseshed.account import SmoothBursty
 
 
 def spend_the_slice(bench: Bench) -> None:
