--- a/hookport/rehearsal/play.py
+++ b/hookport/rehearsal/play.py
@@ -179,11 +179,9 @@
         seed: int,
         command: Sequence[str] = DAEMON,
         progress: Progress | None = None,
-        environ: dict[str, str] | None = None,
     ) -> None:
         self.plan, self.seed, self.command = plan, seed, tuple(command)
         self.progress = progress or Progress()
-        self.environ = environ or {}
         self.host = own_host()
         self.folder = Path()
         self.reaper = Reaper()
@@ -276,7 +274,7 @@
     async def launch(self, life: Life) -> None:
         """Start a limiter and wait until it answers PING."""
         life.config.write_text(json.dumps(life.told))
-        environ = {**os.environ, **self.environ, "PROXY_CONFIG": str(life.config)}
+        environ = {**os.environ, "PROXY_CONFIG": str(life.config)}
         for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY"):
             environ.pop(name, None)
         with open(life.log, "ab") as log:
--- a/hookport/rehearsal/referee.py
+++ b/hookport/rehearsal/referee.py
@@ -129,6 +129,14 @@
     return inside
 
 
+def sent_units(told: Index) -> dict[int, list[float]]:
+    """Units first sent on, by the position of their plan: beyond the quota, and inside it."""
+    units: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
+    for row, due in first_arrivals(told):
+        units[due["q"]][told.inside[row["id"]]] += due["u"]
+    return units
+
+
 def judge(plan: Plan, rows: list[Row]) -> list[Breach]:
     """All breaches, in order of time."""
     told = index(plan, rows)
@@ -292,14 +300,8 @@
 
 def quotas(told: Index) -> Iterator[Breach]:
     """The quotas over all limiters, within the error that the plan states."""
-    inside = beyond = 0.0
-    last_ns = 0
-    for row, due in first_arrivals(told):
-        if told.inside[row["id"]]:
-            inside += due["u"]
-        else:
-            beyond += due["u"]
-        last_ns = row["t"]
+    beyond, inside = (sum(pair[n] for pair in sent_units(told).values()) for n in (0, 1))
+    last_ns = max((row["t"] for row in told.rows["arrive"]), default=0)
     allowed = told.plan.judge.quota_over
     if inside and beyond > allowed * inside:
         text = f"{beyond:.0f} units were sent on beyond the quotas, {beyond / inside:.1%} of those inside; "
--- a/hookport/rehearsal/score.py
+++ b/hookport/rehearsal/score.py
@@ -151,9 +151,7 @@
 def figures(told: referee.Index, all_ends: list[End], result: Score) -> None:
     """What stands beside the score."""
     plan = told.plan
-    units: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])  # beyond and inside, by plan
-    for row, due in referee.first_arrivals(told):
-        units[due["q"]][told.inside[row["id"]]] += due["u"]
+    units = referee.sent_units(told)
     beyond, inside = (sum(pair[n] for pair in units.values()) for n in (0, 1))
     result.beyond_units = ratio(beyond, inside)
     result.beyond_plans = {plan.plans[n].name: ratio(*pair) for n, pair in sorted(units.items())}
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -11,7 +11,7 @@
 import pytest
 import uvloop
 
-from hookport.rehearsal.loops import Place
+from hookport.rehearsal.loops import Place, free_ports, own_host
 from hookport.rehearsal.scripted import Client, soon, until
 from hookport.rehearsal.standins import Agent, Counter, Fleet, Model, Proxy, Server
 from hookport.rehearsal.standins.server import Told
@@ -518,3 +518,10 @@
     parser = hiredis.Reader()
     parser.feed(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
     assert parser.gets() == [b"v", None, None]
+
+
+def test_no_port_is_handed_out_twice_and_evenings_have_addresses_of_their_own() -> None:
+    first = [port for port, _ in zip(free_ports(Place.host), range(300), strict=False)]
+    second = [port for port, _ in zip(free_ports(Place.host), range(300), strict=False)]
+    assert not set(first) & set(second) and len({*first}) == 300
+    assert len({own_host() for _ in range(20)}) > 1
