Start from a kept list: servers trusted by age and proof while discovery is down

Need: with discovery down at dawn a limiter without a list refused everything, and one with a list took it at its word whatever its age; what had drained could come back by an older word.

Change: hookport/membership decides, without I/O or clock, how far each server is believed (source, age, proof by answers or probes, drains that no older word undoes) and keeps the list on disk, whole or not at all. The module honours a trust for each server: who is on the ring, one attempt at a time, no claim to an unproved server of an old list, a slow start of who may be cold. A fleet that is cold throughout is served one attempt at a time instead of hardly at all. Off unless HOOKPORT_OPTIONS names a JSON file of options (schema published).

--- a/aniseshed/interface.py
+++ b/aniseshed/interface.py
@@ -43,6 +43,17 @@
     FAILED = 3
 
 
+class Trust(IntEnum):
+    """How far a server list is to be believed of one server; what decides it is not in this package.
+
+    Below TOLD a server gets one attempt at a time from this limiter, until it has proved itself."""
+
+    NONE = 0  # nothing is sent there
+    SAFE = 1  # requests that are safe to repeat
+    CAREFUL = 2  # any request
+    TOLD = 3  # as told by discovery, or as good
+
+
 class Outcome(IntEnum):
     """How an attempt, a probe or a counter call ended."""
 
@@ -121,7 +132,10 @@
 
 @dataclass(slots=True, frozen=True)
 class ServerEntry:
-    """One line of a server list; born_ns is 0 for a start long past."""
+    """One line of a server list; born_ns is 0 for a start long past.
+
+    ``presumed_ns`` is a start that nobody told of and nobody can rule out, 0 if there is none: from then on
+    the server gets one attempt at a time, and one more for each answer, until a list says otherwise."""
 
     server: bytes
     zone: int
@@ -130,11 +144,13 @@
     health: Health
     weight: float
     born_ns: int
+    trust: Trust = Trust.TOLD
+    presumed_ns: int = 0
 
 
 @dataclass(slots=True, frozen=True)
 class ServerList:
-    """What discovery says."""
+    """What discovery says, or what is believed in its absence."""
 
     kind: ListKind
     entries: tuple[ServerEntry, ...]
--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -13,7 +13,7 @@
 
 from aniseshed import interface as api
 from aniseshed.account import CALLS_SAVED, REPORT_SHARE, SECOND_NS, Account, Fate, Pace, Question
-from aniseshed.interface import Group, Health, ListKind, Outcome, Repeat
+from aniseshed.interface import Group, Health, ListKind, Outcome, Repeat, Trust
 from aniseshed.roll import BEAT_NS, EPOCH_NS, Beat, Roll
 from aniseshed.state import Attempt, Level, Server, Work, apply_list
 from aniseshed.weather import Report, Weather, bound_units
@@ -29,6 +29,7 @@
 EJECT_FAILS = 2  # failures in a row that eject a server: one may be chance
 EJECT_TIMEOUTS = 4.0  # connect time-outs that an ejection lasts; then one attempt at a time
 EJECT_MOST = 0.5  # of the fleet at most ejected: if more fail, the fault is not theirs
+TRY_AIM = 0.3  # of the aim: the longest wait for a server that has yet to prove itself
 PACE = 0.5  # of the multiple at which a cold server falls: all limiters stay this far below it
 WATCH_AGAIN = 0.2  # of the time in which discovery must be asked, to twice that: when to ask again
 LATE_AIM = 0.75  # of the aim: an answer later than this counts as late, while there is time to react
@@ -327,7 +328,8 @@
         # Walked by each limiter from its own place: few servers each, equally many limiters at each.
         order = sorted(self.servers, key=zlib.crc32)
         first = self.settings.index * len(order) // self.limiters
-        self.ring = [self.servers[key] for key in order[first:] + order[:first]]
+        around = (self.servers[key] for key in order[first:] + order[:first])
+        self.ring = [server for server in around if server.entry.trust]
         self.limit = self.limit or FIRST_OUT * len(self.servers) / self.limiters
 
     def share(self, server: Server) -> float:
@@ -359,6 +361,8 @@
     def pick(self, tried: list[Server], request: api.Request) -> Server | None:
         """The least loaded by own outstanding work and recent slowness, over what it can take."""
         best, best_cost, seen = None, math.inf, 0
+        spare, spare_cost = None, math.inf
+        safe = self.settings.classes[request.traffic_class].repeat is Repeat.SAFE
         self.ejected = {server for server in self.ejected if server.eject_until_ns > self.now_ns}
         trust = len(self.ejected) <= EJECT_MOST * len(self.servers)
         for server in self.ring:
@@ -366,16 +370,28 @@
             full = server.full_until_ns.get((request.plan, request.traffic_class), 0) > self.now_ns
             if server.entry.health is not Health.READY or server in tried or out or full:
                 continue
-            share = self.share(server)
-            if share < 1 and (self.now_ns < server.pace_ns or (server.out and not self.answers)):
+            # Guards against a burst, or a claim, on what may be no server or another one by now.
+            trusted = server.entry.trust
+            if trusted is not Trust.TOLD and (server.out or (trusted is Trust.SAFE and not safe)):
+                continue
+            # Slow start of who may be cold: each answer makes room for one more, so its own speed sets the
+            # pace.
+            if server.entry.presumed_ns and len(server.out) > server.answered:
                 continue
+            share = self.share(server)
             weight = server.entry.weight if server.entry.weight > 0 else 1.0
             cost = (len(server.out) + 1) * server.slow / (weight * share) * self.random.uniform(0.99, 1.01)
+            if share < 1 and (self.now_ns < server.pace_ns or (server.out and not self.answers)):
+                if not server.out and cost < spare_cost:
+                    spare, spare_cost = server, cost
+                continue
             if cost < best_cost:
                 best, best_cost = server, cost
             if (seen := seen + 1) >= CANDIDATES:
                 break
-        return best
+        # Guards against a fleet that is cold, or may be, being asked by nobody: one attempt at a time goes at
+        # the server's own pace, however little that is.
+        return best or spare
 
     def send(self, work: Work) -> None:
         """The first attempt, within this limiter's part of a ceiling."""
@@ -401,7 +417,11 @@
         work.attempts.append(attempt)
         self.young[index].append(attempt)
         work.customer.open += 1
-        self.actions.append(api.Send(request_id, server.entry.server, 0))
+        # Guards against a request waiting for its life at an address where nobody may be: it has time for
+        # another.
+        doubted = server.entry.trust is not Trust.TOLD and work.kind.repeat is Repeat.SAFE
+        until_ns = self.now_ns + round(TRY_AIM * work.kind.aim_ns) if doubted else 0
+        self.actions.append(api.Send(request_id, server.entry.server, until_ns))
 
     def again(self, work: Work) -> bool:
         """One more attempt, where class, budget and time allow; while busy, none: it displaces another."""
@@ -460,7 +480,7 @@
             server.slow += GAIN * (ratio - server.slow)
             passed = (self.now_ns - self.answers_ns) / max(1, self.settings.cold_ns)
             self.answers, self.answers_ns = self.answers * math.exp(-passed) + 1, self.now_ns
-            server.fails, server.trial = 0, False
+            server.fails, server.trial, server.answered = 0, False, server.answered + 1
         elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.ERROR):
             server.fails += 1
             if server.fails >= EJECT_FAILS:
--- a/aniseshed/state.py
+++ b/aniseshed/state.py
@@ -37,6 +37,7 @@
     out: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     slow: float = 1.0
     fails: int = 0
+    answered: int = 0  # since its present life is presumed to have begun
     eject_until_ns: int = 0
     pace_ns: int = 0
     full_until_ns: dict[tuple[int, int], int] = field(default_factory=dict)  # by plan and class
@@ -84,7 +85,10 @@
         server = servers.get(entry.server)
         if entry.health is api.Health.GONE:
             servers.pop(entry.server, None)
-        elif server is None:
+            continue
+        if server is None:
             servers[entry.server] = Server(entry, entry.born_ns)
         else:
+            if entry.presumed_ns != server.entry.presumed_ns:
+                server.answered = 0
             server.entry, server.born_ns = entry, max(entry.born_ns, server.born_ns)
--- a/hookport/cli.py
+++ b/hookport/cli.py
@@ -12,6 +12,8 @@
 
 # A command, the module whose main(arguments) runs it, and what --help says of it.
 COMMANDS = {
+    "kept": ("hookport.membership.command", "show a kept list of servers and how far it is trusted by now"),
+    "options": ("hookport.options", "check a file of the daemon's own settings, or print its JSON Schema"),
     "rehearse": ("hookport.rehearsal.command", "play an evening on loopback with real limiters and judge it"),
 }
 HELP = """\
--- a/hookport/config.py
+++ b/hookport/config.py
@@ -5,11 +5,14 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from aniseshed import interface as api
 from aniseshed import wire
 
+if TYPE_CHECKING:
+    from hookport.options import Options
+
 Address = tuple[str, int]
 
 
@@ -43,6 +46,7 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()  # by index, this limiter's own among them
     peers_all: Address | None = None
+    options: Options | None = None  # None: all that they switch on is off
 
 
 def address(text: object, what: str) -> Address:
@@ -78,6 +82,7 @@
                 {name: n for n, name in enumerate(raw.get("hostTypes", ()))},
             ),
             settings=settings,
+            options=read_options(environ),
             **peer_addresses(told, settings),
         )
     except KeyError as error:
@@ -86,6 +91,19 @@
         raise ConfigError(f"the configuration cannot be used: {error}") from error
 
 
+def read_options(environ: Mapping[str, str]) -> Options | None:
+    """The daemon's own settings; without HOOKPORT_OPTIONS nothing of them is even imported."""
+    path = environ.get("HOOKPORT_OPTIONS")
+    if not path:
+        return None
+    from hookport import options
+
+    try:
+        return options.load(path)
+    except options.OptionsError as error:
+        raise ConfigError(str(error)) from error
+
+
 def peer_addresses(told: dict[str, Any], settings: api.Settings) -> dict[str, Any]:
     """Where limiters send one another datagrams; nothing unless the settings allow it."""
     if not settings.may_tell or not told.get("peer_listen"):
--- a/hookport/discovery.py
+++ b/hookport/discovery.py
@@ -103,24 +103,32 @@
         told: Told,
         connect_timeout_s: float,
         follow: bool,
+        alive: Callable[[], None] | None = None,
+        spread: Callable[[float], float] = float,
     ) -> None:
         self.loop, self.place, self.names, self.told = loop, place, names, told
         self.connect_timeout_s = connect_timeout_s
         self.follow = follow  # whether a watch that ended is opened again unasked
+        self.alive, self.spread = alive, spread  # told of every line; makes waits differ between limiters
+        self.heard_s = 0.0  # when the watch last spoke
         self.generation = 0
         self.watch: Watch | None = None
         self.opening: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.again_s = AGAIN_S[0]
 
-    def start(self, known: dict[str, Any]) -> None:
-        """Begin with the list from the configuration, which may be old."""
+    def start(self, known: dict[str, Any], whole: bool = False) -> None:
+        """Begin with the list from the configuration, which may be old.
+
+        The watch then asks for what changed after it, or for the ``whole`` list."""
         try:
             self.generation, listed, places = read_list(known, self.names, ListKind.CACHED)
         except ValueError as error:
             log.warning("the known list cannot be used: %s", error)
             listed, places = ServerList(ListKind.CACHED, ()), {}
         self.told(ServerList(ListKind.CACHED, listed.entries), places)
+        if whole:
+            self.generation = 0
         if self.follow:
             self.subscribe(True)
 
@@ -165,12 +173,13 @@
 
     def line(self, line: bytes) -> None:
         self.heard()
-        self.again_s = AGAIN_S[0]
-        if not line:
-            return
-        generation, listed, places = self.read(line)
-        self.generation = generation
-        self.told(listed, places)
+        self.heard_s, self.again_s = self.loop.time(), AGAIN_S[0]
+        if line:
+            generation, listed, places = self.read(line)
+            self.generation = generation
+            self.told(listed, places)
+        if self.alive:
+            self.alive()
 
     def read(self, line: bytes) -> tuple[int, ServerList, dict[bytes, Address]]:
         try:
@@ -184,7 +193,7 @@
             return
         self.close()
         if self.follow:
-            self.timer = self.loop.call_later(self.again_s, self.subscribe, True)
+            self.timer = self.loop.call_later(self.spread(self.again_s), self.subscribe, True)
             self.again_s = min(2 * self.again_s, AGAIN_S[1])
         self.told(ServerList(ListKind.FAILED, ()), {})
 
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -19,6 +19,7 @@
 from hookport.servers import Attempt, Servers
 
 if TYPE_CHECKING:
+    from hookport.membership import Members
     from hookport.peers import Peers
 
 log = logging.getLogger("hookport.node")
@@ -69,9 +70,13 @@
         self.clients = Clients(loop, self.take, round(most * CLIENTS_PART))
         for_servers = most - self.clients.most
         self.servers = Servers(loop, self.attempt_ended, connect_s, config.idle_ns / SECOND, for_servers)
-        self.discovery = Discovery(
-            loop, config.discovery, config.names, self.listed, connect_s, not settings.subscribe
-        )
+        self.members = self.believe() if config.options and config.options.membership else None
+        follow, members = not settings.subscribe, self.members
+        told = members.told if members else self.listed
+        more = (members.alive, members.wait_s) if members else ()
+        self.discovery = Discovery(loop, config.discovery, config.names, told, connect_s, follow, *more)
+        if members:
+            members.discovery = self.discovery
         self.counter: Counter | None = None
         if config.counter:
             wait_s = settings.counter_timeout_ns / SECOND
@@ -93,12 +98,24 @@
             api.Log: lambda action: log.info("%s", action.text),
         }
 
+    def believe(self) -> Members:
+        """What stands between discovery and the module, where the options switch it on."""
+        from hookport.membership import Members  # only here: off, it costs nothing
+
+        config, settings = self.config, self.settings
+        assert config.options and config.options.membership
+        fleet = "{}:{}".format(*config.discovery)
+        return Members(
+            self.loop, config.options.membership, config.name, config.names, fleet, settings.index,
+            settings.limiters, self, self.now_ns, settings.may_probe, config.seed,
+        )  # fmt: skip
+
     async def start(self) -> None:
-        self.discovery.start(self.config.known)
-        if self.counter:
-            self.counter.connect()
         if self.peers and self.config.peer_listen:
             await self.peers.start(self.config.peer_listen)
+        self.discovery.start(self.config.known, whole=self.members is not None)
+        if self.counter:
+            self.counter.connect()
         host, port = await self.clients.listen(self.config.listen)
         log.info("%s serves on %s:%d", self.config.name, host, port)
 
@@ -107,6 +124,8 @@
             self.stopping.cancel()
         self.clients.close()
         self.discovery.close()
+        if self.members:
+            self.members.close()
         self.servers.close()
         if self.counter:
             self.counter.close()
@@ -116,9 +135,13 @@
     def report(self) -> None:
         """SIGUSR1: the state of the counter, since when, and the bound on the overrun, in the log."""
         log.info("%s", self.limiter.told())
+        if self.members:
+            log.info("%s", self.members.line())
 
     def reconfigure(self, config: Config) -> None:
         """SIGHUP: go on with what is held, under new addresses; all else holds from start to exit."""
+        if self.members and config.discovery != self.discovery.place:
+            self.members.moved("{}:{}".format(*config.discovery))
         self.discovery.move(config.discovery)
         if self.counter and config.counter:
             self.counter.move(config.counter)
@@ -130,6 +153,8 @@
         if self.stopping is None:
             wait_s = min(self.longest_ns, KILL_AFTER_NS) / SECOND + KILL_GRACE_S
             self.stopping = self.loop.call_later(wait_s, self.answer_all)
+            if self.members:
+                self.members.save()
             self.clients.shut_down()
 
     def answer_all(self) -> None:
@@ -270,6 +295,8 @@
                 report=(),
             )
         )
+        if self.members:
+            self.members.ended(attempt.server, outcome)
 
     # Other actions and facts
 
@@ -294,10 +321,18 @@
         self.feed(api.Counted(call.name, outcome, total, elapsed_ns, call.number))
 
     def tell(self, action: api.Tell) -> None:
+        self.say(action.peer, action.payload)
+
+    def say(self, peer: int | None, payload: bytes) -> None:
         if self.peers:
-            self.peers.tell(action.peer, action.payload)
+            self.peers.tell(peer, payload)
+
+    def probe(self, server: bytes, ended: Callable[[bool], None]) -> None:
+        self.servers.probe(server, ended)
 
     def peer_said(self, sender: int, payload: bytes) -> None:
+        if self.members and payload.startswith(b"F"):
+            return self.members.word(payload)
         self.feed(api.PeerMessage(sender, payload))
 
     def listed(self, told: api.ServerList, places: dict[bytes, Address]) -> None:
--- a/hookport/rehearsal/plan.py
+++ b/hookport/rehearsal/plan.py
@@ -59,6 +59,9 @@
     attempts: Annotated[int, Meta(ge=1, le=16)] = 4
     drain_ms: Positive = 250.0
     base_port: Annotated[int, Meta(ge=0, le=65_000)] = 0  # 0: free ports are looked for
+    # the list of servers in the configuration of one that starts again
+    known: Literal["last", "none"] = "last"
+    kept_list: bool = False  # whether they keep the list on a disk that outlives them
 
 
 class CounterPart(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/hookport/rehearsal/play.py
+++ b/hookport/rehearsal/play.py
@@ -275,8 +275,13 @@
         """Start a limiter and wait until it answers PING."""
         life.config.write_text(json.dumps(life.told))
         environ = {**os.environ, "PROXY_CONFIG": str(life.config)}
-        for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY"):
+        for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "HOOKPORT_OPTIONS"):
             environ.pop(name, None)
+        if self.plan.limiters.kept_list:
+            options = self.folder / "options.json"
+            keeps = {"path": f"{self.folder}/{{name}}.kept", "fleet": "rehearsal", "write_s": 0.5}
+            options.write_text(json.dumps({"membership": keeps}))
+            environ["HOOKPORT_OPTIONS"] = str(options)
         with open(life.log, "ab") as log:
             try:
                 life.process = await self.child(
@@ -416,8 +421,11 @@
             await process.wait()
         life.known.clear()
         await asyncio.sleep(told["back_s"])
-        self.workers["world"].order(op="known", l=life.number)
-        await asyncio.wait_for(life.known.wait(), READY_S)
+        if self.plan.limiters.known == "none":
+            life.told["known"] = {"generation": 0, "reset": True, "instances": []}
+        else:
+            self.workers["world"].order(op="known", l=life.number)
+            await asyncio.wait_for(life.known.wait(), READY_S)
         life.cpu_s += life.now_s
         await self.relaunch(life)
         self.tell_desks(life, True, True)
--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -145,6 +145,7 @@
         self.idle: dict[bytes, list[Link]] = {}  # warmest last
         self.opening: dict[Attempt, None] = {}
         self.sweeper: asyncio.TimerHandle | None = None
+        self.probes: set[asyncio.Task[bool]] = set()
 
     def learn(self, server: bytes, address: Address, born_ns: int) -> None:
         """Guards against a request on a connection to where, or to what, the server was before."""
@@ -211,6 +212,33 @@
             coldest.transport.abort()
         return coldest is not None
 
+    def probe(self, server: bytes, ended: Callable[[bool], None]) -> None:
+        """Ask a server for a PONG on a connection of its own; ``ended`` is told once whether it came in
+        time."""
+        place = self.places.get(server)
+        if place is None or not self.room():
+            return ended(False)
+        task = self.loop.create_task(self.look(place[0]))
+        self.probes.add(task)
+
+        def over(task: asyncio.Task[bool]) -> None:
+            self.probes.discard(task)
+            ended(not task.cancelled() and task.result())
+
+        task.add_done_callback(over)
+
+    async def look(self, address: Address) -> bool:
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                reader, writer = await asyncio.open_connection(*address)
+                try:
+                    writer.write(b"*1\r\n$4\r\nPING\r\n")
+                    return await reader.readexactly(7) == b"+PONG\r\n"
+                finally:
+                    writer.transport.abort()
+        except (OSError, EOFError, TimeoutError):
+            return False
+
     async def open(self, attempt: Attempt, place: Place) -> None:
         link = Link(self, attempt.server, place)
         try:
@@ -281,5 +309,7 @@
         for attempt in list(self.opening):
             if attempt.opening:
                 attempt.opening.cancel()
+        for probe in self.probes:
+            probe.cancel()
         for link in list(self.links):
             link.transport.abort()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from helpers import MS, SECOND, SETTINGS, START, Bench, entry
+from helpers import MS, SAFE, SECOND, SETTINGS, START, Bench, entry
 
 from aniseshed import interface as api
 
@@ -146,3 +146,58 @@
         if bench.was_sent(rid):
             bench.end(rid)
     assert len(bench.counts) > 1100
+
+
+def listed(*entries: api.ServerEntry) -> api.ServerList:
+    return api.ServerList(api.ListKind.DELTA, entries)
+
+
+def doubted(trust: api.Trust, presumed_ns: int = 0, servers: int = 1) -> Bench:
+    """A limiter whose list says how far its servers are trusted."""
+    bench = Bench(replace(SETTINGS, limiters=1, has_counter=False), servers=0)
+    bench.feed(
+        listed(*(replace(entry(n), trust=trust, presumed_ns=presumed_ns) for n in range(1, servers + 1)))
+    )
+    return bench
+
+
+def test_a_server_that_has_to_prove_itself_gets_one_attempt_at_a_time_and_claims_only_if_careful() -> None:
+    for trust, kinds in ((api.Trust.SAFE, (0,)), (api.Trust.CAREFUL, (0, 1)), (api.Trust.NONE, ())):
+        for kind in (0, 1):
+            bench = doubted(trust)
+            first, second = bench.ask(kind=kind), bench.ask(customer=2)
+            assert bench.was_sent(first) is (kind in kinds)
+            assert bench.was_sent(second) is (kind not in kinds and trust is api.Trust.SAFE)
+
+
+def test_a_search_waits_for_a_doubted_server_only_a_part_of_its_aim() -> None:
+    bench = doubted(api.Trust.CAREFUL)
+    assert 0 < bench.sent[bench.ask(), 0].until_ns - bench.now < SAFE.aim_ns / 2
+    bench = doubted(api.Trust.CAREFUL)
+    assert bench.sent[bench.ask(kind=1), 0].until_ns == 0, "a claim that may have run has nowhere else to go"
+
+
+def test_a_server_that_may_be_cold_gets_one_more_at_a_time_for_each_answer() -> None:
+    bench = doubted(api.Trust.TOLD, presumed_ns=START)
+    for allowed in (1, 2, 3):
+        asked = [bench.ask(customer=n) for n in range(6)]
+        sent = [n for n in asked if bench.was_sent(n)]
+        assert len(sent) == allowed
+        bench.end(sent[0])
+        for n in sent[1:]:
+            bench.end(n, api.Outcome.FULL)
+        bench.advance(3 * SECOND)
+    bench.feed(listed(replace(entry(1), presumed_ns=START + 1)))
+    asked = [bench.ask(customer=n) for n in range(6)]
+    assert sum(map(bench.was_sent, asked)) == 1, "it may have started again"
+    bench.feed(listed(entry(1)))
+    assert sum(bench.was_sent(bench.ask(customer=n)) for n in range(6)) > 1, "a list says that it has not"
+
+
+def test_a_fleet_that_is_all_cold_is_served_one_attempt_at_a_time() -> None:
+    bench = doubted(api.Trust.TOLD)
+    bench.feed(listed(entry(1, born_ns=START)))
+    for n in range(20):
+        request = bench.ask(customer=n)
+        assert bench.was_sent(request) and not bench.was_sent(bench.ask(customer=n + 100))
+        bench.end(request)
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,10 +6,12 @@
 import json
 import os
 import sys
+from dataclasses import replace
 from typing import Any
 
 from hookport.config import Config, read
 from hookport.node import Node
+from hookport.options import Options
 from hookport.rehearsal.scripted import (
     VALUE,
     Client,
@@ -85,6 +87,8 @@
         self.stubs = [Stub(handler) for handler in handlers]
         self.counter, self.plan = Stub(count or saying(b"$1\r\n1\r\n")), plan
         self.discovery = Discovery()
+        self.options: Options | None = None
+        self.known = True  # whether the configuration lists the servers
         self.node: Node | None = None
         self.process: asyncio.subprocess.Process | None = None
         self.log = b""
@@ -96,6 +100,7 @@
         return self
 
     def told(self) -> dict[str, Any]:
+        listed = [row(f"s-{n}", stub.port) for n, stub in enumerate(self.stubs) if self.known]
         return {
             "name": "n0",
             "listen": "127.0.0.1:0",
@@ -103,14 +108,12 @@
             "counter": f"127.0.0.1:{self.counter.port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"memory_mb": 192, "sockets": 1024},
-            "known": json.loads(
-                change(1, *(row(f"s-{n}", s.port) for n, s in enumerate(self.stubs)), whole=True)
-            ),
+            "known": json.loads(change(1, *listed, whole=True)),
             "settings": settings(**self.plan),
         }
 
     async def start(self) -> World:
-        config: Config = read(self.told(), {})
+        config: Config = replace(read(self.told(), {}), options=self.options)
         self.node = Node(config, asyncio.get_running_loop())
         await self.node.start()
         assert self.node.clients.server
