Limit commands: take, peek and give back over RESP, from the books of forwarded requests

Need: partner desks and desk servers want to ask whether a request fits its quota; redis-py could not even connect (HELLO was an unknown command) and no limit command existed.

Change: a request now says what it wants (to be sent, taken or peeked at) and a take ends in a verdict at the very place where another request ends at a server, so both pass the same checks, slice, counter and hold. hookport/limits has the words of ordinary Redis clients (HELLO 2 and 3, AUTH, CLIENT, COMMAND, ...), ids that are answered once, users with secrets, and bounds on what is held. Off unless the options switch it on; off, clients get the same to the byte.

Measured: 12,000 random arrivals come to the same decision on both paths; redis-py (threads and asyncio, protocol 2, 3 and default) and coredis connect, pool and pipeline.

--- a/aniseshed/interface.py
+++ b/aniseshed/interface.py
@@ -54,6 +54,14 @@
     TOLD = 3  # as told by discovery, or as good
 
 
+class Ask(IntEnum):
+    """What a request wants: to be sent on, or a verdict on its quota."""
+
+    SEND = 0
+    TAKE = 1  # the units are taken, nothing is sent
+    PEEK = 2  # what a take would come to; nothing is taken
+
+
 class Outcome(IntEnum):
     """How an attempt, a probe or a counter call ended."""
 
@@ -169,6 +177,7 @@
     set_size: float
     set_start: float
     repeated: bool
+    ask: Ask = Ask.SEND
 
 
 @dataclass(slots=True, frozen=True)
@@ -196,6 +205,14 @@
     report: tuple[float, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class GivenBack:
+    """Units of a customer that a take was granted and that nobody used."""
+
+    customer: int
+    units: float
+
+
 @dataclass(slots=True, frozen=True)
 class HungUp:
     """The client has gone; nothing is owed."""
@@ -243,7 +260,16 @@
 
 
 Event = (
-    ServerList | Request | StreamBegun | AttemptEnded | HungUp | TimerFired | Probed | PeerMessage | Counted
+    ServerList
+    | Request
+    | GivenBack
+    | StreamBegun
+    | AttemptEnded
+    | HungUp
+    | TimerFired
+    | Probed
+    | PeerMessage
+    | Counted
 )
 
 
@@ -264,6 +290,19 @@
     retry_after_ns: int
 
 
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """Final answer to a take that was granted, or to a peek.
+
+    ``left`` are the units that the whole quota still holds by this limiter's account, ``wait_ns`` is when to
+    come back, 0 if it fits now."""
+
+    request_id: int
+    fits: bool
+    left: float
+    wait_ns: int
+
+
 @dataclass(slots=True, frozen=True)
 class Fail:
     """Final answer that says nothing of what has run."""
@@ -340,4 +379,18 @@
     """Ask once for the whole server list."""
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Count | Log | Watch | Fetch
+Action = (
+    Send
+    | Refuse
+    | Verdict
+    | Fail
+    | Cancel
+    | SetTimer
+    | Probe
+    | CloseIdle
+    | Tell
+    | Count
+    | Log
+    | Watch
+    | Fetch
+)
--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -13,7 +13,7 @@
 
 from aniseshed import interface as api
 from aniseshed.account import CALLS_SAVED, REPORT_SHARE, SECOND_NS, Account, Fate, Pace, Question
-from aniseshed.interface import Group, Health, ListKind, Outcome, Repeat, Trust
+from aniseshed.interface import Ask, Group, Health, ListKind, Outcome, Repeat, Trust
 from aniseshed.roll import BEAT_NS, EPOCH_NS, Beat, Roll
 from aniseshed.state import Attempt, Level, Server, Work, apply_list
 from aniseshed.weather import Report, Weather, bound_units
@@ -74,7 +74,8 @@
         self.handlers: dict[type, Callable[..., None]] = {
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
             api.Counted: self.on_counted, api.HungUp: self.end, api.ServerList: self.on_list,
-            api.StreamBegun: self.end, api.PeerMessage: self.on_word}  # fmt: skip
+            api.StreamBegun: self.end, api.PeerMessage: self.on_word,
+            api.GivenBack: self.on_given_back}  # fmt: skip
 
     def handle(self, now_ns: int, event: api.Event) -> list[api.Action]:
         """The actions that answer one event."""
@@ -120,13 +121,28 @@
         work.rank = min(1.0, value / self.value)
         # Guards against work that cannot end in the time its client has, however it is repeated.
         late = aim_ns <= now_ns and not kind.late_worth or self.usual_ns[index] * units > request.patience_ns
-        if full or self.pressed(work) or late:
+        refused = full or self.pressed(work) or late
+        if request.ask is Ask.PEEK:
+            self.peek(work, refused)
+        elif refused:
             self.refuse(work, kind.aim_ns)
         elif plan.rate <= 0 or plan.burst <= 0:
             self.send(work)
         else:
             self.admit(work, customer)
 
+    def peek(self, work: Work, refused: bool) -> None:
+        """What a take would come to by this limiter's own account; it asks nobody and takes nothing."""
+        del self.work[work.request.request_id]
+        left = max(0.0, work.customer.refill(self.now_ns)) if work.plan.rate > 0 else math.inf
+        short_ns = max(0.0, work.units - left) / max(work.customer.rate, 1e-9) * SECOND_NS
+        wait_ns = round(max(short_ns, work.kind.aim_ns if refused else 0))
+        self.actions.append(api.Verdict(work.request.request_id, not wait_ns, min(left, 1e15), wait_ns))
+
+    def on_given_back(self, event: api.GivenBack) -> None:
+        if customer := self.customers.get(event.customer):
+            customer.give_back(self.now_ns, event.units, False)
+
     def admit(self, work: Work, customer: Account) -> None:
         """The ordinary path: the slice, then the counter, then the ticket."""
         customer.bucket.resync(self.now_ns)
@@ -395,13 +411,18 @@
 
     def send(self, work: Work) -> None:
         """The first attempt, within this limiter's part of a ceiling."""
-        self.retry_tokens = min(RETRY_DEPOSIT, self.retry_tokens + RETRY_RATIO)
-        ceiling, server, work.asking = work.customer.ceiling, self.pick([], work.request), False
+        ceiling, takes, work.asking = work.customer.ceiling, work.request.ask is Ask.TAKE, False
+        self.retry_tokens = min(RETRY_DEPOSIT, self.retry_tokens + RETRY_RATIO * (not takes))
+        server = None if takes else self.pick([], work.request)
         ceiling.resync(self.now_ns)
-        if server is None or ceiling.stored_permits < work.units:
+        if ceiling.stored_permits < work.units or (server is None and not takes):
             return self.refuse(work, work.kind.aim_ns)
         ceiling.reserve(work.units)
-        self.attempt(work, server)
+        if server:
+            return self.attempt(work, server)
+        left = max(0.0, work.customer.refill(self.now_ns)) if work.plan.rate > 0 else 1e15
+        del self.work[work.request.request_id]
+        self.actions.append(api.Verdict(work.request.request_id, True, left, 0))
 
     def attempt(self, work: Work, server: Server) -> None:
         request_id, index, number = work.request.request_id, work.request.traffic_class, len(work.attempts)
--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -7,11 +7,14 @@
 import socket
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 from hookport import resp
 from hookport.config import Address
 
+if TYPE_CHECKING:
+    from hookport.limits import Front, Session
+
 log = logging.getLogger("hookport.clients")
 
 BACKLOG = 1024
@@ -60,7 +63,7 @@
     """One client connection, which carries requests of many customers."""
 
     __slots__ = (
-        "answers", "clients", "done", "ended", "parsing", "reader", "refused", "row",
+        "answers", "clients", "done", "ended", "parsing", "reader", "refused", "row", "session",
         "stopped_reading", "taken", "transport", "write_paused",
     )  # fmt: skip
 
@@ -69,6 +72,7 @@
         self.reader = resp.Reader(MOST_WORDS)
         self.answers: deque[Answer] = deque()
         self.row: Row | None = None  # of those that wait for this client
+        self.session: Session | None = None  # where the front for limit commands is on
         self.stopped_reading = False
         self.write_paused = False
         self.parsing = False
@@ -137,6 +141,8 @@
             except resp.CommandError as error:
                 self.answers.remove(answer)
                 self.refuse(str(error))
+        elif (front := self.clients.front) and front.command(self, verb, words):
+            pass
         elif verb == b"PING":
             self.push(resp.PONG if len(words) == 1 else resp.error("wrong number of arguments"))
         elif verb in (b"CLIENT", b"SELECT"):
@@ -249,6 +255,7 @@
         self.closing = False
         self.done = asyncio.Event()
         self.server: asyncio.Server | None = None
+        self.front: Front | None = None  # answers commands of its own, where the options switch it on
 
     async def listen(self, address: Address) -> Address:
         """Start to accept; returns the address, with the port that a zero was made into."""
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -19,6 +19,7 @@
 from hookport.servers import Attempt, Servers
 
 if TYPE_CHECKING:
+    from hookport.limits import Front
     from hookport.membership import Members
     from hookport.peers import Peers
 
@@ -86,9 +87,12 @@
             from hookport.peers import Peers  # only here: without peers it costs nothing
 
             self.peers = Peers(loop, config.peers, config.peers_all, settings.index, self.peer_said)
+        self.front = self.take_asks() if config.options and config.options.limits else None
+        self.clients.front = self.front
         self.doers: dict[type, Callable[[Any], None]] = {
             api.Send: self.send,
             api.Refuse: self.refuse,
+            api.Verdict: self.verdict,
             api.Fail: self.fail,
             api.Cancel: self.cancel,
             api.SetTimer: self.set_timer,
@@ -98,6 +102,15 @@
             api.Log: lambda action: log.info("%s", action.text),
         }
 
+    def take_asks(self) -> Front:
+        """Limit commands, where the options switch them on."""
+        from hookport import __version__
+        from hookport.limits import Front, Users  # only here: off, it costs nothing
+
+        assert self.config.options and self.config.options.limits
+        options = self.config.options.limits
+        return Front(self.loop, options, self.grammar, self.settings, self, __version__, Users(options.users))
+
     def believe(self) -> Members:
         """What stands between discovery and the module, where the options switch it on."""
         from hookport.membership import Members  # only here: off, it costs nothing
@@ -162,6 +175,8 @@
         for request_id in list(self.open):
             if request_id in self.open:
                 self.overdue(request_id)
+        if self.front:
+            self.front.answer_all()
 
     def now_ns(self) -> int:
         return time.monotonic_ns() + self.clock_ns
@@ -199,7 +214,7 @@
             return answer.give(resp.busy(self.settings.max_retry_after_ns))
         deadline_ns = self.settings.classes[fields.index].deadline_ns
         patience_ns = min(max(1, command.wait_ms - MARGIN_MS) * MS, deadline_ns)
-        self.next_id = request_id = (self.next_id + 1) & 0xFFFFFFFF
+        request_id = self.new_id()
         now_ns = self.now_ns()
         request = Open(request_id, command, answer, now_ns + patience_ns)
         self.open[request_id] = request
@@ -220,6 +235,10 @@
             )
         )
 
+    def new_id(self) -> int:
+        self.next_id = (self.next_id + 1) & 0xFFFFFFFF
+        return self.next_id
+
     def once(self, client_id: bytes) -> None:
         """Guards against an effect twice, by an id that is open or was lately: ids are new with each try.
 
@@ -301,8 +320,14 @@
     # Other actions and facts
 
     def refuse(self, action: api.Refuse) -> None:
+        if self.front and self.front.refused(action.request_id, action.retry_after_ns):
+            return
         self.answer(action.request_id, resp.busy(action.retry_after_ns))
 
+    def verdict(self, action: api.Verdict) -> None:
+        if self.front:
+            self.front.verdict(action)
+
     def fail(self, action: api.Fail) -> None:
         self.answer(action.request_id, resp.error("failed"))
 
--- a/hookport/options.py
+++ b/hookport/options.py
@@ -11,7 +11,7 @@
 import re
 import sys
 from collections.abc import Sequence
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct
@@ -50,10 +50,30 @@
     trust: tuple[TrustRow, ...] = ()  # by age; empty takes the built-in table
 
 
+class LimitUser(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Who may use limit commands, with a secret that comes from a file or the environment."""
+
+    name: Annotated[str, Meta(pattern="^[!-~]{1,64}$")]
+    secret_file: str = ""
+    secret_env: str = ""
+    commands: tuple[Literal["take", "peek", "give"], ...] = ("take", "peek", "give")
+    customers: tuple[Annotated[str, Meta(pattern="^[0-9a-f]{16}$")], ...] = ()  # empty: all
+
+
+class Limits(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """RESP commands for limits, and what ordinary Redis clients say before they use them."""
+
+    users: tuple[LimitUser, ...] = ()  # empty: whoever connects
+    keep_s: Seconds = 60.0  # for which the same id gets the same answer
+    most_ids: Annotated[int, Meta(ge=1, le=10_000_000)] = 20_000  # remembered; some 400 bytes each
+    most_open: Annotated[int, Meta(ge=1, le=1_000_000)] = 1_000  # questions held at one time
+
+
 class Options(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """All of it; what is absent is off."""
 
     membership: Membership | None = None
+    limits: Limits | None = None
 
 
 def load(path: str) -> Options:
@@ -89,7 +109,13 @@
     what, _, place = text.partition(" - at `$")
     place = place.rstrip("`").lstrip(".") or "the options"
     if found := re.search(r"unknown field `(.+?)`", what):
-        kind = TrustRow if "trust" in place else Membership if place.startswith("membership") else Options
+        kinds = {
+            "membership": Membership,
+            "membership.trust": TrustRow,
+            "limits": Limits,
+            "limits.users": LimitUser,
+        }
+        kind = kinds.get(re.sub(r"\[.*?\]", "", place), Options)
         close = difflib.get_close_matches(found[1], kind.__struct_fields__, 1)
         return f"{place}: unknown key {found[1]}" + (
             f"; did you mean {close[0]}?" if close else "; take it out"
--- a/hookport/resp.py
+++ b/hookport/resp.py
@@ -210,6 +210,15 @@
         submit = texts[0].upper() == b"SVC.SUBMIT"
         if len(texts) != len(words) or len(texts) != 4 + submit:
             raise CommandError("wrong number of arguments")
+        return self.read(texts, submit)
+
+    def ask(self, words: Sequence[bytes]) -> Command:
+        """A question about a quota: the same of any class; without ``d`` its ``wait_ms`` is 0."""
+        if len(words) != 4:
+            raise CommandError("wrong number of arguments")
+        return self.read(words, None)
+
+    def read(self, texts: Sequence[bytes], submit: bool | None) -> Command:
         _, customer, request_id, listed = texts[:4]
         key = int(customer, 16) if CUSTOMER(customer) else MOST_CUSTOMERS
         if key >= MOST_CUSTOMERS:
@@ -218,7 +227,9 @@
             raise CommandError("the id is not 1 to 64 letters, digits, - or _")
         if len(listed) > 1024 or len(texts[-1]) > LARGEST_VALUE:
             raise CommandError("an argument is too long")
-        if not (split := WAIT(listed)):
+        if not (split := WAIT(listed)) and submit is None:
+            return Command(texts, listed, b"", key, 0, self.fields(submit, listed))
+        if not split:
             raise CommandError("d is not a number of milliseconds")
         wait_ms, before, after = int(split[2]), split[1], split[3]
         fields = self.fields(submit, before + after[1:] if after else before[:-1])
@@ -226,7 +237,7 @@
             raise CommandError("d is not a time for which a client of that class waits")
         return Command(texts, before, after, key, wait_ms, fields)
 
-    def read_fields(self, submit: bool, listed: bytes) -> Fields:
+    def read_fields(self, submit: bool | None, listed: bytes) -> Fields:
         fields: dict[bytes, bytes] = {}
         for item in listed.split(b","):
             name, equals, value = item.partition(b"=")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -96,7 +96,7 @@
                 self.sent[(action.request_id, number)] = action
             elif isinstance(action, api.SetTimer):
                 self.timers.append((self.now + action.delay_ns, action.token))
-            elif isinstance(action, api.Refuse | api.Fail):
+            elif isinstance(action, api.Refuse | api.Fail | api.Verdict):
                 assert action.request_id not in self.finals, "two final answers"
                 self.finals[action.request_id] = action
             elif isinstance(action, api.Count) and action.name & TOP_CUSTOMER > TOP_CUSTOMER - FIRST_GROUPS:
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,326 @@
+"""Limit commands: ordinary clients, one core for both paths, and nothing counted twice."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import coredis
+import hiredis
+import pytest
+import redis
+import redis.asyncio
+from helpers import MS, SECOND, SETTINGS, Bench
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import Handler, Stub, World, query, serve, soon, until
+
+from aniseshed import interface as api
+from hookport.limits import Ledger, Users
+from hookport.options import Limits, LimitUser, Options, OptionsError
+
+FIELDS = b"c=lookup,t=team,units=%d,spread=1,first=0"
+CUSTOMER = b"%016x" % 7
+
+
+def take(
+    id: bytes, units: int = 1, verb: bytes = b"LIMIT.TAKE", customer: bytes = CUSTOMER
+) -> tuple[bytes, ...]:
+    return verb, customer, id, FIELDS % units
+
+
+def counting() -> Handler:
+    """A counter that counts."""
+    totals: dict[bytes, float] = {}
+
+    async def count(stub: Stub, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+        totals[words[1]] = totals.get(words[1], 0.0) + float(words[2])
+        text = b"%.7g" % totals[words[1]]
+        writer.write(b"$%d\r\n%s\r\n" % (len(text), text))
+
+    return count
+
+
+def on(scenario: Callable[[World], Awaitable[None]], limits: Limits | None = None, **more: Any) -> None:
+    """Run a scenario against a limiter with limit commands on."""
+
+    async def run() -> None:
+        async with World(serve, **{"count": counting(), **more}) as world:
+            world.options = Options(limits=limits or Limits())
+            await world.start()
+            await scenario(world)
+
+    asyncio.run(run())
+
+
+# Ordinary clients
+
+
+@pytest.mark.parametrize("protocol", [None, 2, 3])
+def test_redis_py_connects_with_its_defaults_pools_and_pipelines(protocol: int | None) -> None:
+    more = {} if protocol is None else {"protocol": protocol}
+
+    async def scenario(world: World) -> None:
+        def ask() -> None:
+            with redis.Redis(port=world.port, client_name="desk", **more) as client:  # type: ignore[arg-type]
+                assert client.ping() and client.echo("x") == b"x"
+                assert client.client_getname() in (b"desk", "desk") and client.client_id() > 0
+                assert client.execute_command("LIMIT.TAKE", *take(b"a%d" % (protocol or 0))[1:])[0] == 1
+                with client.pipeline(transaction=False) as pipe:
+                    for n in range(200):
+                        pipe.execute_command("LIMIT.TAKE", *take(b"p%d" % n)[1:])
+                    assert [row[0] for row in pipe.execute()] == [1] * 200
+                client.connection_pool.disconnect()
+                assert client.ping(), "and reconnects"
+
+        await asyncio.to_thread(ask)
+        async with redis.asyncio.Redis(port=world.port, **more) as client:  # type: ignore[arg-type]
+            rows = await asyncio.gather(*(client.execute_command(*take(b"g%d" % n)) for n in range(40)))
+            assert [row[0] for row in rows] == [1] * 40
+
+    on(scenario)
+
+
+def test_coredis_connects_with_its_defaults() -> None:
+    async def scenario(world: World) -> None:
+        client = coredis.Redis(host="127.0.0.1", port=world.port)
+        async with client:
+            assert await client.ping()
+            assert await client.echo("x") in (b"x", "x")
+
+    on(scenario)
+
+
+def test_the_words_of_a_connection() -> None:
+    async def scenario(world: World) -> None:
+        client = await world.client()
+        hello = await client.ask(b"HELLO", b"2")
+        assert dict(zip(hello[::2], hello[1::2], strict=True))[b"proto"] == 2
+        assert dict(await client.ask(b"HELLO", b"3", b"SETNAME", b"me"))[b"server"] == b"hookport"
+        assert await client.ask(b"CLIENT", b"GETNAME") == b"me"
+        assert await client.ask(b"COMMAND", b"DOCS") in ({}, [])
+        assert await client.ask(b"COMMAND") == []
+        for words, text in (
+            ((b"HELLO", b"4"), "NOPROTO"), ((b"HELLO", b"3", b"X"), "Syntax error"),
+            ((b"SELECT", b"1"), "out of range"),
+            ((b"CLIENT", b"SETNAME", b"a b"), "cannot contain"), ((b"CLIENT", b"KILL"), "unknown subcommand"),
+            ((b"CLIENT", b"SETINFO", b"X", b"y"), "Unrecognized"), ((b"GET", b"k"), "unknown command"),
+            ((b"AUTH", b"pw"), "WRONGPASS"), ((b"ECHO",), "wrong number"),
+        ):  # fmt: skip
+            assert text in str(await client.ask(*words)), words
+        assert await client.ask(b"RESET") == b"RESET"
+        assert await client.ask(b"CLIENT", b"GETNAME") is None
+        assert await client.ask(b"QUIT") == b"OK"
+        with pytest.raises(EOFError):
+            await client.answer()
+
+    on(scenario)
+
+
+def test_off_nothing_has_changed_to_the_byte() -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            await world.start()
+            for words, reply in (
+                ((b"HELLO", b"3"), b"-ERR unknown command\r\n"),
+                ((b"LIMIT.TAKE",), b"-ERR unknown command\r\n"),
+                ((b"PING", b"x"), b"-ERR wrong number of arguments\r\n"), ((b"CLIENT", b"ID"), b"+OK\r\n"),
+            ):  # fmt: skip
+                reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+                writer.write(hiredis.pack_command(words))  # type: ignore[arg-type,no-untyped-call]
+                assert await soon(reader.readline()) == reply
+                writer.close()
+
+    asyncio.run(scenario())
+
+
+# Takes
+
+
+def test_takes_peeks_and_gives_draw_from_the_quota_of_forwarded_requests() -> None:
+    async def scenario(world: World) -> None:
+        client = await world.client()
+        assert (await client.ask(*take(b"p", 4, b"LIMIT.PEEK")))[:2] == [1, 8]
+        assert (await client.ask(*take(b"a", 4)))[:2] == [1, 4]
+        assert await client.ask(*query(1)) == b"value"
+        assert (await client.ask(*take(b"p", 4, b"LIMIT.PEEK")))[:2] == [0, 3]
+        fits, _, wait_ms = await client.ask(*take(b"b", 4))
+        assert fits == 0 and wait_ms > 0
+        assert await client.ask(b"LIMIT.GIVE", b"a") == 1
+        assert await client.ask(b"LIMIT.GIVE", b"a") == 0, "once"
+        assert await client.ask(b"LIMIT.GIVE", b"b") == 0, "it was refused: there is nothing to give back"
+        assert (await client.ask(*take(b"p", 4, b"LIMIT.PEEK")))[:2] == [1, 7]
+        assert not world.stubs[0].commands[1:], "only the forwarded one went to a server"
+
+    on(scenario, perSecond=0.001, storeSize=8.0)
+
+
+def test_the_same_id_gets_the_same_answer_and_takes_nothing_more() -> None:
+    async def scenario(world: World) -> None:
+        first, second = await world.client(), await world.client()
+        told = await first.ask(*take(b"a", 4))
+        assert await second.ask(*take(b"a", 4)) == told and told[1] == 4
+        assert "another question" in str(await second.ask(*take(b"a", 2)))
+        assert (await first.ask(*take(b"p", 1, b"LIMIT.PEEK")))[1] == 4
+
+    on(scenario, perSecond=0.001, storeSize=8.0)
+
+
+def test_an_id_that_is_still_open_is_answered_to_all_who_ask_once_the_counter_speaks() -> None:
+    async def scenario(world: World) -> None:
+        first, second = await world.client(), await world.client()
+        assert (await first.ask(*take(b"z", 4)))[0] == 1
+        for client in (first, second):
+            client.send(*take(b"a", 4))
+        assert await first.answer() == await second.answer()
+
+    on(scenario, perSecond=1.0, storeSize=4.0)
+
+
+def test_questions_in_flight_at_sigterm_get_one_answer_each() -> None:
+    async def scenario(world: World) -> None:
+        client = await world.client()
+        front = world.node.front  # type: ignore[union-attr]
+        assert front
+        front.door.feed = lambda event: None  # the module says nothing any more
+        client.send(*take(b"a"))
+        await until(lambda: front.pending)
+        world.node.answer_all()  # type: ignore[union-attr]
+        assert not front.pending and not front.ledger.taken, "the id is free again"
+        assert "timed out" in str(await client.answer())
+
+    on(scenario)
+
+
+def test_bad_input_gets_an_error_and_the_guards_of_clients_hold() -> None:
+    async def scenario(world: World) -> None:
+        client = await world.client()
+        await client.ask(*take(b"ok"))
+        for words in (
+            (b"LIMIT.TAKE",), take(b"a", 5), take(b"a b"), take(b"a", customer=b"x"), (b"LIMIT.GIVE",),
+            (b"LIMIT.TAKE", CUSTOMER, b"a", b"c=lookup,t=team,units=-1"),
+            (b"LIMIT.TAKE", CUSTOMER, b"a", b"units=1e300"),
+            (b"LIMIT.TAKE", CUSTOMER, b"a", b"c=lookup,t=team,d=0"),
+        ):  # fmt: skip
+            assert isinstance(await client.ask(*words), Exception), words
+        for _ in range(16):
+            client.send(b"LIMIT.TAKE")
+        with pytest.raises(EOFError):
+            while True:
+                await client.answer()
+
+    on(scenario)
+
+
+def test_more_questions_than_may_be_open_are_refused_at_once() -> None:
+    async def scenario(world: World) -> None:
+        front = world.node.front  # type: ignore[union-attr]
+        assert front
+        client, late = await world.client(), await world.client()
+        feed, front.door.feed = front.door.feed, lambda event: None
+        client.send(*take(b"a"))
+        await until(lambda: front.pending)
+        assert await late.ask(*take(b"b")) == [0, 0, 1000]
+        front.door.feed = feed
+
+    on(scenario, Limits(most_open=1))
+
+
+def test_users_secrets_commands_and_customers(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    (tmp_path / "secret").write_text("correct horse\n")
+    monkeypatch.setenv("DESK", "battery staple")
+    users = (
+        LimitUser(name="default", secret_file=str(tmp_path / "secret")),
+        LimitUser(name="desk", secret_env="DESK", commands=("peek",), customers=(CUSTOMER.decode(),)),
+    )
+
+    async def scenario(world: World) -> None:
+        client = await world.client()
+        assert "NOAUTH" in str(await client.ask(*take(b"a")))
+        assert await client.ask(*query(1)) == b"value", "forwarded traffic needs no user"
+        assert "WRONGPASS" in str(await client.ask(b"AUTH", b"desk", b"correct horse"))
+        assert "WRONGPASS" in str(await client.ask(b"AUTH", b"nobody", b""))
+        assert await client.ask(b"AUTH", b"desk", b"battery staple") == b"OK"
+        assert "NOPERM" in str(await client.ask(*take(b"a")))
+        assert (await client.ask(*take(b"a", verb=b"LIMIT.PEEK")))[0] == 1
+        assert "NOPERM" in str(await client.ask(*take(b"a", verb=b"LIMIT.PEEK", customer=b"%016x" % 8)))
+        assert await client.ask(b"AUTH", b"correct horse") == b"OK"
+        assert (await client.ask(*take(b"a")))[0] == 1
+        assert await client.ask(b"HELLO", b"3", b"AUTH", b"desk", b"battery staple")
+        assert "NOPERM" in str(await client.ask(b"LIMIT.GIVE", b"a"))
+        assert "WRONGPASS" in str(await client.ask(b"HELLO", b"3", b"AUTH", b"default", b"battery staple"))
+        for _ in range(5):
+            assert "WRONGPASS" in str(await client.ask(b"AUTH", b"guess"))
+        assert "too many wrong secrets" in str(await client.ask(b"AUTH", b"guess"))
+
+    on(scenario, Limits(users=users))
+
+
+@pytest.mark.parametrize(
+    ("user", "why"),
+    [(LimitUser(name="a"), "name secret_file or secret_env"),
+     (LimitUser(name="a", secret_env="NONE"), "0 bytes"),
+     (LimitUser(name="a", secret_file="/none/x"), "No such file")],
+)  # fmt: skip
+def test_a_user_without_a_secret_is_told_and_no_secret_is(user: LimitUser, why: str) -> None:
+    with pytest.raises(OptionsError, match=f"limits.users: a: .*{why}"):
+        Users([user], {})
+
+
+def test_the_ledger_forgets_by_time_and_number_the_oldest_first() -> None:
+    ledger = Ledger(keep_ns=10, most=3)
+    for n in range(5):
+        ledger.open(n, (None, b"%d" % n), (), 1)
+    assert [key[1] for key in ledger.taken] == [b"2", b"3", b"4"]
+    assert ledger.find(11, (None, b"2")) and not ledger.find(12, (None, b"2"))
+    assert not ledger.find(5, (b"other", b"4")), "ids belong to a user"
+    ledger.open(14, (None, b"5"), (), 1)
+    assert [key[1] for key in ledger.taken] == [b"5"]
+
+
+# One core
+
+
+def test_a_take_leaves_nothing_behind_and_keeps_to_the_ceiling() -> None:
+    ceiling = replace(SETTINGS.plans[0], ceiling_rate=2.0, ceiling_burst=4.0)
+    bench = Bench(replace(SETTINGS, limiters=1, has_counter=False, plans=(ceiling,)))
+    bench.limiter.retry_tokens = 0.0
+    bench.ask(units=1.0, set_size=1.0, ask=api.Ask.TAKE)
+    bench.advance(SECOND)
+    granted = [bench.ask(units=1.0, set_size=1.0, ask=api.Ask.TAKE) for _ in range(6)]
+    assert [isinstance(bench.finals[n], api.Verdict) for n in granted] == [True, True] + [False] * 4
+    bench.ask(units=1.0, set_size=1.0, ask=api.Ask.PEEK)
+    assert not bench.limiter.work and not bench.limiter.retry_tokens and not bench.sent
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(seed=st.integers(0, 1 << 32), size=st.integers(1, 3), rate=st.sampled_from([0.5, 4.0, 40.0]))
+def test_both_paths_come_to_the_same_decisions(seed: int, size: int, rate: float) -> None:
+    """200 arrivals an example, 12,000 in all: forwarded at one limiter, taken at its twin, one frozen
+    clock."""
+    quota = replace(SETTINGS.plans[0], rate=rate, burst=max(4.0, 2 * rate))
+    told = replace(SETTINGS, limiters=size, plans=(quota,), has_counter=size > 1)
+    forwards, takes = Bench(told, seed=seed), Bench(told, seed=seed)
+    chance = random.Random(seed)
+    for _ in range(200):
+        step_ns = round(chance.expovariate(1.3 * rate) * SECOND)
+        units, customer, total = (
+            float(chance.randint(1, 4)),
+            chance.randint(1, 2),
+            chance.uniform(0, quota.burst),
+        )
+        fits = []
+        for bench, ask in ((forwards, api.Ask.SEND), (takes, api.Ask.TAKE)):
+            bench.advance(step_ns)
+            request = bench.ask(customer, units=units, set_size=float(size), ask=ask)
+            while bench.unanswered:
+                bench.counted(total)
+            bench.advance(400 * MS)
+            if bench.was_sent(request):
+                bench.end(request)
+            fits.append(bench.was_sent(request) or isinstance(bench.finals.get(request), api.Verdict))
+        assert fits[0] == fits[1]
