--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -181,6 +181,17 @@
     assert sum("no longer kept: [Errno 2]" in line for line in told) == 1 and "the list is kept again" in told
 
 
+def test_limiters_do_not_ask_a_discovery_that_is_back_as_one(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with World(serve) as world:
+            await dark(world, tmp_path / "k").start()
+            assert world.node
+            waits = [world.node.discovery.spread(2.0) for _ in range(50)]
+            assert all(1.0 <= wait <= 3.0 for wait in waits) and max(waits) - min(waits) > 1.0
+
+    asyncio.run(scenario())
+
+
 def test_limiters_tell_one_another_who_drains(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with World(serve, serve) as world:
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -52,6 +52,17 @@
     assert "<svg" in text and "http" not in text and "<script" not in text
 
 
+def test_at_dawn_limiters_serve_from_what_they_kept_and_keep_every_rule(rehearse: Rehearse) -> None:
+    judged = rehearse(plans.scaled(plans.load("dawn"), 16.0))
+    assert judged.verdict == "kept", [b.text for b in judged.breaches[:5]] or judged.void
+    dark = [row["t"] for row in judged.rows if row["e"] == "fault" and row["text"].startswith("discovery ")]
+    starts = [row for row in judged.rows if row["e"] == "limiter" and row["what"] == "ready"]
+    ready = [row["t"] for row in starts if row["p"] == 2]
+    assert len(dark) == 2 and len(ready) == 3 and all(dark[0] < t < dark[1] for t in ready)
+    served = [row["t"] for row in judged.rows if row["e"] == "ans" and row["how"] == "value"]
+    assert sum(max(ready) < t < dark[1] for t in served) > 20, "by limiters that know no discovery"
+
+
 @pytest.mark.parametrize("name", mutants.SHORT)
 def test_a_broken_limiter_is_caught_under_its_rule(
     name: str, rehearse: Rehearse, broken_limiter: Callable[[str], tuple[str, ...]]
