One maker of a request's event for both fronts; a refusal and a field that stood twice go

Seen on reading the change once more: the node and the limit commands each spelt out the event that tells the module of a request, the refusal of one question too many stood twice, and the beliefs kept a start time that nobody read.

Change: resp.Command.request makes the event; the order of checks in a limit command is as before. No behaviour changes.

--- a/hookport/limits/front.py
+++ b/hookport/limits/front.py
@@ -116,17 +116,14 @@
             return connection.push(NOPERM)
         connection.taken += 1
         fields, key = command.fields, (session.user, command.request_id)
+        now_ns, about = self.door.now_ns(), (command.customer, fields)
+        if verb == TAKE and (known := self.ledger.find(now_ns, key)):
+            return self.repeat(connection, known, about)
+        if len(self.pending) >= self.options.most_open:
+            return connection.push(self.refusal(self.settings.max_retry_after_ns))
         pending = Pending(fields.units, None, None)
         if verb == TAKE:
-            now_ns, about = self.door.now_ns(), (command.customer, fields)
-            known = self.ledger.find(now_ns, key)
-            if known:
-                return self.repeat(connection, known, about)
-            if len(self.pending) >= self.options.most_open:
-                return connection.push(self.refusal(self.settings.max_retry_after_ns))
             pending.key, pending.taken = key, self.ledger.open(now_ns, key, about, command.customer)
-        elif len(self.pending) >= self.options.most_open:
-            return connection.push(self.refusal(self.settings.max_retry_after_ns))
         answer = Answer(connection)
         connection.answers.append(answer)
         pending.answers.append(answer)
@@ -134,20 +131,8 @@
         patience_ns = min(command.wait_ms * MS or deadline_ns, deadline_ns)
         request_id = self.door.new_id()
         self.pending[request_id] = pending
-        self.door.feed(
-            api.Request(
-                request_id=request_id,
-                traffic_class=fields.index,
-                plan=fields.plan,
-                customer=command.customer,
-                patience_ns=patience_ns,
-                units=fields.units,
-                set_size=fields.spread,
-                set_start=fields.first,
-                repeated=fields.repeated,
-                ask=api.Ask.TAKE if verb == TAKE else api.Ask.PEEK,
-            )
-        )
+        ask = api.Ask.TAKE if verb == TAKE else api.Ask.PEEK
+        self.door.feed(command.request(request_id, patience_ns, ask))
         if request_id in self.pending:
             # Guards against a question that nobody ever answers.
             pending.timer = self.loop.call_later(patience_ns / SECOND + SPARE_S, self.forgotten, request_id)
--- a/hookport/membership/fleet.py
+++ b/hookport/membership/fleet.py
@@ -176,7 +176,6 @@
         self.live = False  # the watch speaks, and the list is of this discovery
         self.taken = False  # a list of the present discovery has been taken
         self.generation = 0
-        self.started_ns = 0
         self.confirmed_ns = 0  # the watch's last word that nothing else has changed
         self.back_ns = 0  # when the watch last began to speak
         self.news: set[bytes] = set()  # drained or gone, and not yet told to the other limiters
@@ -199,7 +198,7 @@
         Of the two the one with the later generation wins where they differ; the configuration's is then at
         least as young as the kept one, and else of unknown age, which is the oldest.  Drains count from
         either."""
-        self.started_ns, newer, listed_ns = now_ns, False, 0
+        newer, listed_ns = False, 0
         if kept:
             self.gone = {s: g for s, g in kept.gone.items() if now_ns - g.told_ns < GONE_NS}
             self.generation, newer = kept.generation, generation > kept.generation > 0
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -221,19 +221,7 @@
         self.held_bytes += request.size
         request.deadline = self.loop.call_later(patience_ns / SECOND, self.overdue, request_id)
         answer.gone = lambda: self.hung_up(request_id)
-        self.feed(
-            api.Request(
-                request_id=request_id,
-                traffic_class=fields.index,
-                plan=fields.plan,
-                customer=command.customer,
-                patience_ns=patience_ns,
-                units=fields.units,
-                set_size=fields.spread,
-                set_start=fields.first,
-                repeated=fields.repeated,
-            )
-        )
+        self.feed(command.request(request_id, patience_ns))
 
     def new_id(self) -> int:
         self.next_id = (self.next_id + 1) & 0xFFFFFFFF
--- a/hookport/resp.py
+++ b/hookport/resp.py
@@ -11,7 +11,7 @@
 
 import hiredis
 
-from aniseshed.interface import Repeat, Settings
+from aniseshed.interface import Ask, Repeat, Request, Settings
 from hookport.config import Names
 
 LARGEST_VALUE = 64 * 1024
@@ -156,6 +156,22 @@
     def request_id(self) -> bytes:
         return self.words[2]
 
+    def request(self, request_id: int, patience_ns: int, ask: Ask = Ask.SEND) -> Request:
+        """The event that tells the module of it."""
+        fields = self.fields
+        return Request(
+            request_id=request_id,
+            traffic_class=fields.index,
+            plan=fields.plan,
+            customer=self.customer,
+            patience_ns=patience_ns,
+            units=fields.units,
+            set_size=fields.spread,
+            set_start=fields.first,
+            repeated=fields.repeated,
+            ask=ask,
+        )
+
     def forward(self, wait_ms: int) -> bytes:
         """The same for a server, with how long the limiter will wait."""
         verb, customer, request_id, _, *body = self.words
