Hundreds of limiters call no roll that no quota has a use for

Each of 200 limiters called the roll once a second and told all others that it lives.

Now the roll is called once a set comes by that fits a group, words go to the group alone, and a larger set counts as whole. A silent counter is asked all the same, or thin traffic would find it back late.

--- a/aniseshed/account.py
+++ b/aniseshed/account.py
@@ -1,14 +1,11 @@
 """A customer's quota as one limiter sees it: slice, belief of the whole store, word to the counter.
 
-The counter keeps one number for a customer and a window of time: the sum of what all limiters told it.  Each
-answer tells what the others added, and so what is left of the quota.  Three things make that hard, and each
-has one place here:
+The counter keeps one number for a customer and a window of time: the sum of what all limiters told it.
 
-- *Who tells what.*  Units are told once, by the limiter that charged them, with a question or later.
-  Those asked for and not granted, or charged for a request of which nothing was sent, are taken back.
+- *Who tells what.*  Units are told once, by the limiter that charged them, with a question or later. Those
+  asked for and not granted, or charged for a request of which nothing was sent, are taken back.
 - *A new window* begins at zero, though the store does not.  The first limiter to call hands on what is
-  missing from the store by its own account of now.  Every other limiter sees that as an addition by another;
-  what it knows of already it must not take twice (``expected``).
+  missing from the store by its own account.  Others must not take that twice (``expected``).
 - *Silence.*  A call that timed out is in doubt until an answer comes: its own, late, or the next total of
   its name, whose mark tells whether it was added (``aniseshed/marks.py``).  What was not added is told again.
 
--- a/aniseshed/marks.py
+++ b/aniseshed/marks.py
@@ -1,13 +1,11 @@
 """Marks: how a limiter reads from a total which of its own unanswered calls have been added.
 
-A call that brought no answer may have been added or not, and both guesses are wrong in part. Taken for
-added, what a swallowed call told is never told again, and what it asked for is taken back though it never
-stood there: the others grant on a total that lacks it. Taken for lost, it is told twice. So the total
-itself tells: below the least amount that is ever counted (the ``quantum``) each limiter of a customer's set
-has one bit of the total to itself. Every call that it marks turns that bit (by adding or taking away its
-weight), and no second marked call goes out before the first is resolved: the alternating bit of Bartlett,
-Scantlebury and Wilkinson (CACM 12(5), 1969), read back from a sum. The next total on that name shows the
-bit, whichever call brought it.
+A call that brought no answer may have been added or not. Taken for added, what a swallowed call told is
+never told again, and what it asked for is taken back though it never stood there. Taken for lost, it is told
+twice. So the total itself tells: below the least amount that is ever counted (the ``quantum``) each limiter
+of a customer's set has one digit to itself, which every call that it marks turns, and no second marked call
+goes out before the first is resolved: the alternating bit of Bartlett, Scantlebury and Wilkinson (CACM 12(5),
+1969), read back from a sum, whichever call brought the total.
 
 Exactness: a total has seven decimal digits at most (a relative error of 5e-7), a float of the simulator's
 wire 24 bits, and some counters print three decimals. The grid is ``span * 2**-18``, where ``span`` is a
--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -15,7 +15,7 @@
 from aniseshed.account import CALLS_SAVED, REPORT_SHARE, Account, Fate, Pace, Question
 from aniseshed.interface import Ask, Group, Health, ListKind, Outcome, Repeat, Trust
 from aniseshed.marks import place
-from aniseshed.roll import BEAT_NS, EPOCH_NS, SECOND_NS, Beat, Roll
+from aniseshed.roll import BEAT_NS, EPOCH_NS, GROUP, SECOND_NS, Beat, Roll
 from aniseshed.state import Attempt, Level, Server, Work, apply_list
 from aniseshed.weather import Weather, bound_units
 
@@ -170,6 +170,7 @@
         if customer is None:
             now_ns, size = self.now_ns, min(max(1.0, request.set_size), self.limiters)
             quota, ceiling = (plan.rate, plan.burst), (plan.ceiling_rate, plan.ceiling_burst)
+            self.roll.used = self.roll.used or size <= GROUP
             digit = place(self.settings.index, self.limiters, round(size))
             customer = Account.fresh(
                 now_ns, request.customer, size, quota, ceiling, digit, now_ns - self.start_ns, self.weather
@@ -213,12 +214,13 @@
     def on_beat(self) -> None:
         """Answer the roll, tell the peers that this limiter lives, and look at the state of the counter."""
         self.timer(BEAT_NS, self.on_beat, True)
-        beat = self.roll.beat(self.now_ns)
-        self.last_call = call = self.last_call + 1
-        self.beats = {call: beat, **{old: b for old, b in self.beats.items() if b is self.roll.out}}
-        self.actions.append(api.Count(beat.name, beat.amount, 2 * EPOCH_NS, call))
-        if self.settings.may_tell:
-            self.actions.append(api.Tell(None, WORD))
+        if self.roll.used or self.weather.silent(self.now_ns):  # a silent counter is asked whether it is back
+            beat = self.roll.beat(self.now_ns)
+            self.last_call = call = self.last_call + 1
+            self.beats = {call: beat, **{old: b for old, b in self.beats.items() if b is self.roll.out}}
+            self.actions.append(api.Count(beat.name, beat.amount, 2 * EPOCH_NS, call))
+        if self.settings.may_tell and self.roll.used:
+            self.actions += [api.Tell(other, WORD) for other in self.roll.listeners()]
         if self.weather.look(self.now_ns, bool(self.roll.split)):
             self.actions.append(api.Log(self.report().line()))
 
--- a/aniseshed/roll.py
+++ b/aniseshed/roll.py
@@ -1,18 +1,15 @@
-"""The roll call: which limiters talk to the same counter as this one.
-
-A counter that splits answers both halves well, and each half grants the whole quota. Nothing in a
-customer's own totals tells: limiters that are cut off look like limiters that are idle. So each limiter
-turns its digit of one number once a beat, used or not; the digits that move are the limiters on this side.
-A name lives for an epoch, so that what a dead limiter left goes with it. A limiter that does not answer the
-roll is either gone, and its traffic has come to the others, or it spends on the other side of a split. A
-word from it by datagram tells the two apart; where limiters may not send any, it is taken for split: that
-can refuse what a quota had room for, and never passes it.
-
-One number holds the digits, of base 4, of ``GROUP`` limiters next to one another by index: 8 of them are
-65,535 at most, exact in the seven digits of a total. A digit goes 0, 1, 2, 3, 1; a single bit would look
-still to whoever reads it after two turns. No digit is turned again before the last turn is resolved, so
-none carries into the next one. Limiters of other groups are taken for present.
-"""
+"""The roll call: which limiters talk to the same counter as this one (docs/design/counter-lost.md).
+
+A counter that splits answers both halves well, and each half grants the whole quota. So each limiter turns
+its digit of one number once a beat: the digits that move are the limiters on this side. One that does not
+answer is gone, and its traffic has come to the others, or it spends on the other side: a word from it by
+datagram tells, and where limiters may not send any, it is taken for split. That can refuse what a quota had
+room for, and never passes it.
+
+One number holds the digits, of base 4, of ``GROUP`` limiters next to one another by index: 65,535 at most,
+exact in the seven digits of a total. A digit goes 0, 1, 2, 3, 1; a single bit would look still to whoever
+reads it after two turns. No digit is turned again before the last turn is resolved, so none carries into the
+next one. Limiters of other groups are taken for present."""
 
 from __future__ import annotations
 
@@ -50,6 +47,7 @@
     limiters: int
     start_ns: int
     peers_tell: bool  # whether limiters may send one another datagrams
+    used: bool = False  # a set came by that is no larger than a group: else it tells nobody anything
     epoch: int = -1
     digit: int | None = None  # of this limiter in the present name; None: not known
     out: Beat | None = None  # that turned it and is not resolved
@@ -63,6 +61,9 @@
     lost_ns: int = -QUIET_NS  # when its own digit was last found gone
     quiet_ns: int = 0  # until when it only reads
 
+    def __post_init__(self) -> None:
+        self.used = self.used or self.limiters <= GROUP
+
     @property
     def first(self) -> int:
         """The lowest index of this limiter's group."""
@@ -72,6 +73,10 @@
     def group(self) -> range:
         return range(self.first, min(self.limiters, self.first + GROUP))
 
+    def listeners(self) -> list[int | None]:
+        """Whom to send word: all at once where one group is all, else those who have a use for it."""
+        return [o for o in self.group if o != self.index] if self.limiters > GROUP else [None]
+
     def name(self, epoch: int) -> int:
         return (TOP_CUSTOMER - self.index // GROUP + (epoch << NAME_BITS)) % (1 << 64)
 
@@ -148,8 +153,8 @@
         self.split = frozenset(away)
 
     def part(self, start: int, size: int) -> float:
-        """Of a set's quota, the part of the limiters on this side, this one among them; from 0 to 1."""
-        if not self.split or size <= 1:
+        """Of a set's quota, the part of the limiters on this side; 1 where the set is more than a group."""
+        if not self.split or size <= 1 or (size > GROUP and self.limiters > GROUP):
             return 1.0
         away = sum((start + n) % self.limiters in self.split for n in range(size))
         return (size - min(away, size - 1)) / size
--- a/tests/test_thin_traffic.py
+++ b/tests/test_thin_traffic.py
@@ -10,7 +10,7 @@
 import pytest
 from helpers import MS, SAFE, SECOND, SETTINGS, START, UNSAFE, Bench
 
-from aniseshed.interface import Outcome
+from aniseshed.interface import Counted, Outcome
 
 LIMITERS = 200
 SEARCH, CLAIM = 0, 1
@@ -83,3 +83,38 @@
     # Ten times as much, and late answers: the limit decides, and the dear are served before the cheap.
     asked, sent = spread(1, 30, 80.0, 2000, True)
     assert sent[SEARCH] < 0.2 * asked[SEARCH] and sent[SEARCH] / asked[SEARCH] < sent[CLAIM] / asked[CLAIM]
+
+
+def test_hundreds_call_no_roll_where_no_set_is_as_small_as_a_group() -> None:
+    bench = Bench(FLEET, servers=LIMITERS)
+    bench.ask(set_size=150.0)
+    bench.advance(5 * SECOND)
+    assert not bench.beats and not bench.told, "a call and a word a second from each of 200 limiters"
+    bench.ask(customer=2, set_size=4.0)
+    bench.advance(SECOND)
+    assert len(bench.beats) == 1
+
+
+def test_word_goes_to_those_who_have_a_use_for_it() -> None:
+    bench = Bench(replace(FLEET, may_tell=True), servers=LIMITERS)
+    bench.ask(set_size=4.0)
+    bench.advance(SECOND)
+    assert [tell.peer for tell in bench.told] == [64, 65, 66, 67, 68, 69, 71]
+    few = Bench(replace(FLEET, may_tell=True, limiters=3, index=1))
+    few.ask()
+    few.advance(SECOND)
+    assert [tell.peer for tell in few.told] == [None]
+
+
+def test_a_silent_counter_is_asked_whether_it_is_back_though_nobody_comes() -> None:
+    bench = Bench(FLEET, servers=LIMITERS)
+    for n in range(20):
+        bench.ask(customer=n, set_size=150.0)
+        while bench.unanswered:
+            bench.counted(0.0, Outcome.TIMEOUT)
+        bench.advance(100 * MS)
+    assert bench.limiter.weather.silent(bench.now)
+    bench.advance(2 * SECOND)
+    beat = bench.beats[-1]
+    bench.feed(Counted(beat.name, Outcome.OK, 0.0, 2 * MS, beat.call))
+    assert not bench.limiter.weather.silent(bench.now)
