A class that was slow once, and a counter that is back, are tried again at once

Of what a limiter learns and then refuses by, two things had no way back without traffic:

- usual_ns moves only with an answer, and the first one sets it whole.
After a restart that is one over a new connection, perhaps from a cold server: a claim of two units answered in 6 s made every later one with 4 s left "late", and with none sent none was answered.
Now one at a time is sent all the same.
- Pace slowed to one call in up to 19 s for each of 200 limiters while the counter was silent, and waited that gap out after it was back.
Now the gap that only silence made ends with it.

tests/test_thin_traffic.py has both, and fails without each.

--- a/aniseshed/account.py
+++ b/aniseshed/account.py
@@ -83,6 +83,12 @@
         self.calls.stable_interval_ns = self.gap_ns * min(2.0**self.misses, CALL_RANGE)
 
 
+    def back(self, now_ns: int) -> None:
+        """The counter answers again: guards against waiting out a gap that only its silence had made."""
+        self.misses, self.calls.stable_interval_ns = 0, self.gap_ns
+        self.calls.next_free_ticket_ns = min(self.calls.next_free_ticket_ns, now_ns + round(self.gap_ns))
+
+
 class Fate(Enum):
     """What has become of a call: what it told counts once whichever way it goes from one to the next."""
 
@@ -274,8 +280,7 @@
         return question
 
     def new_window(self, now_ns: int, window: int) -> None:
-        """Guards against taking back from a window what another was charged, and against telling in it what
-        has long refilled; calls still in doubt go with the name that they were for."""
+        """Keep to the window: nothing is taken back from another, nothing told that has long refilled."""
         for question in self.doubts:
             self.landed(now_ns, question)
         if self.asked_window and self.marks and self.marks.weight:
@@ -446,13 +451,10 @@
     def begin_again(self, now_ns: int, stands: float, knew: float) -> None:
         """A count that lost units in the middle of its window: each limiter tells its own share again.
 
-        ``stands`` is what others are seen to have in it, ``knew`` the total that this limiter knew.  After a
-        fresh one began at zero that is all, after a return to an older state what is seen to be missing.
-        What others tell again was taken from the room before (``expected``).  While the counter is split this
-        is another side, which never owed this limiter's part: nothing is told, and what stands there is old.
-
-        What others spent since this limiter heard last is nowhere to be read, until they tell it: they are
-        taken to have spent their slices."""
+        ``stands`` is what others are seen to have in it, ``knew`` the total that this limiter knew: what is
+        seen to be missing is told.  What others tell again was taken from the room before (``expected``).  On
+        another side of a split counter nothing is told: it never owed this limiter's part.  What others spent
+        since this limiter heard last is nowhere to be read: they are taken to have spent their slices."""
         missing = min(1.0, max(0.0, 1.0 - stands / knew)) if knew > 0 else 1.0
         apart = self.part < 1.0 or self.rejoined
         again = 0.0 if apart else missing * max(0.0, self.mine)
--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -120,9 +120,10 @@
         value = work.kind.worth * plan.price * units
         self.value += GAIN * (value - self.value) if self.value else value
         work.rank = min(1.0, value / self.value)
-        # Guards against work that cannot end in the time its client has, however it is repeated.
-        late = aim_ns <= now_ns and not kind.late_worth or self.usual_ns[index] * units > request.patience_ns
-        refused = full or self.pressed(work) or late
+        # Guards against work that cannot end in the time its client has. One at a time is sent all the same:
+        # nothing else could tell that its class has become faster.
+        refused = full or self.pressed(work) or (aim_ns <= now_ns and not kind.late_worth)
+        refused = refused or bool(self.young[index]) and self.usual_ns[index] * units > request.patience_ns
         if request.ask is Ask.PEEK:
             self.peek(work, refused)
         elif refused:
@@ -248,6 +249,7 @@
         back = heard and self.weather.silent(self.now_ns)
         self.weather.ended(self.now_ns, heard)
         if back:
+            self.pace.back(self.now_ns)
             self.begin_to_teach()
 
     def on_word(self, event: api.PeerMessage) -> None:
--- a/aniseshed/roll.py
+++ b/aniseshed/roll.py
@@ -135,9 +135,8 @@
         """Who is on another side: judged only by answers, never while the counter itself is silent.
 
         One that returns counts as away until the side that it left must have missed it: guards against two
-        sides that both count on its part, time and again, where one limiter flaps between them.  One that
-        has just started sends word before it can have answered.  One that sends no word either is dead, and
-        its traffic has come here: but not one that was away before, and not where two are gone at once."""
+        sides that both count on its part.  One that has just started sends word before it can have answered.
+        One that sends no word either is dead: but not one that was away, or where two are gone at once."""
         wait_ns, away = ABSENT_BEATS * BEAT_NS, list[int]()
         # In reads, not in time: while the counter was silent to this limiter nobody could be seen.
         gone = [o for o in self.group if o != self.index and self.reads - self.seen.get(o, 0) > ABSENT_BEATS]
--- a/tests/test_thin_traffic.py
+++ b/tests/test_thin_traffic.py
@@ -10,6 +10,7 @@
 import pytest
 from helpers import MS, SAFE, SECOND, SETTINGS, START, UNSAFE, Bench
 
+from aniseshed.account import Pace
 from aniseshed.interface import Counted, Outcome
 
 LIMITERS = 200
@@ -118,3 +119,46 @@
     beat = bench.beats[-1]
     bench.feed(Counted(beat.name, Outcome.OK, 0.0, 2 * MS, beat.call))
     assert not bench.limiter.weather.silent(bench.now)
+    assert bench.limiter.pace.misses == 0, "and the next requests may ask it again"
+
+
+def test_a_class_that_was_slow_once_is_tried_again() -> None:
+    # Guards against one late first answer that shuts its class out: no further answer, no other belief.
+    bench = Bench(FLEET, servers=LIMITERS)
+
+    def claim(n: int, took_ns: int) -> bool:
+        request_id = bench.ask(
+            traffic_class=CLAIM, customer=n, units=2.0, set_size=150.0, patience_ns=4 * SECOND
+        )
+        while bench.unanswered:
+            bench.counted(bench.unanswered[0].amount)
+        bench.advance(took_ns)
+        if sent := bench.was_sent(request_id):
+            bench.end(request_id, took_ns=took_ns)
+        bench.advance(2 * SECOND)
+        return sent
+
+    assert claim(0, 6 * SECOND)
+    assert bench.limiter.usual_ns[CLAIM] * 2 > 4 * SECOND
+    tries = [claim(n, 300 * MS) for n in range(1, 20)]
+    assert sum(tries) == 19 and bench.limiter.usual_ns[CLAIM] < SECOND
+
+
+def test_while_one_slow_request_is_out_no_second_is_sent() -> None:
+    bench = Bench(FLEET, servers=LIMITERS)
+    bench.limiter.usual_ns[SEARCH] = 3.5 * SECOND
+    sent = [bench.was_sent(bench.ask(customer=n, set_size=1.0)) for n in range(3)]
+    assert sent == [True, False, False]
+
+
+def test_when_the_counter_is_back_calls_flow_at_once() -> None:
+    # Silence slows each of 200 limiters to a call in up to 19 s.
+    pace, now_ns = Pace(LIMITERS, 30 * MS), START
+    for _ in range(20):
+        pace.calls.resync(now_ns)
+        pace.call()
+        pace.ended(False)
+        now_ns += 100 * MS
+    assert pace.calls.next_free_ticket_ns > now_ns + 10 * SECOND
+    pace.back(now_ns)
+    assert pace.free(now_ns + SECOND, 0.0)
