Limiters of large sets tell one another whom the counter has just refused

Cause, on the model (set of 150, four times the rate): each limiter sees such a customer now and then, its sliver of a slice is full, and where no call is free it lets the request in, at 150 places. The counter's answers reach only who asked.

One that was refused sends six bytes to all, 20 words a second over the whole fleet, the plans that lose most first, and nobody tells again what all have heard. Who heard it leaves requests that its slice cannot hold to the counter for six seconds.

The bound of each state moved to bound.py and the record of a call to question.py.

--- a/aniseshed/account.py
+++ b/aniseshed/account.py
@@ -16,9 +16,9 @@
 
 import math
 from dataclasses import dataclass, field
-from enum import Enum
 
 from aniseshed.marks import Marks
+from aniseshed.question import Fate, Question
 from aniseshed.roll import NAME_BITS, SECOND_NS
 from aniseshed.weather import Weather
 
@@ -89,34 +89,6 @@
         self.calls.next_free_ticket_ns = min(self.calls.next_free_ticket_ns, now_ns + round(self.gap_ns))
 
 
-class Fate(Enum):
-    """What has become of a call: what it told counts once whichever way it goes from one to the next."""
-
-    OUT = "out"
-    ENDED = "ended"  # answered, turned away, or resolved
-    DOUBT = "doubt"  # unanswered in time; it may have been added, or may yet be
-    LOST = "lost"  # told again, for all that is known; an answer may still come
-
-
-@dataclass(slots=True, eq=False)
-class Question:
-    """A call to the counter: units asked for, and local spends told with it; both in units of the quota."""
-
-    account: Account
-    request_id: int  # -1 if it only tells
-    name: int
-    units: float
-    local: float
-    call: int = 0  # its number at this limiter, in the order in which calls were made
-    asked_ns: int = 0
-    mark: float = 0.0  # added with it, to turn this limiter's digit of the total
-    fate: Fate = Fate.OUT
-
-    @property
-    def amount(self) -> float:
-        return self.units + self.local
-
-
 @dataclass(slots=True, eq=False)
 class Account:
     """One customer at one limiter.  Times in nanoseconds, amounts in units, ``rate`` in units a second."""
--- a/aniseshed/marks.py
+++ b/aniseshed/marks.py
@@ -1,16 +1,14 @@
 """Marks: how a limiter reads from a total which of its own unanswered calls have been added.
 
-A call that brought no answer may have been added or not. Taken for added, what a swallowed call told is
-never told again, and what it asked for is taken back though it never stood there. Taken for lost, it is told
-twice. So the total itself tells: below the least amount that is ever counted (the ``quantum``) each limiter
-of a customer's set has one digit to itself, which every call that it marks turns, and no second marked call
-goes out before the first is resolved: the alternating bit of Bartlett, Scantlebury and Wilkinson (CACM 12(5),
-1969), read back from a sum, whichever call brought the total.
-
-Exactness: a total has seven decimal digits at most (a relative error of 5e-7), a float of the simulator's
-wire 24 bits, and some counters print three decimals. The grid is ``span * 2**-18``, where ``span`` is a
-power of two of at least four bursts, and 2**-9 at the least. Up to two spans the rounding error stays under
-0.3 of a step; beyond that, or off the grid, nothing is read.
+Below the least amount that is ever counted (the ``quantum``) each limiter of a customer's set has one digit
+of the total to itself, which every call that it marks turns, and no second marked call goes out before the
+first is resolved: the alternating bit of Bartlett, Scantlebury and Wilkinson (CACM 12(5), 1969), read back
+from a sum, whichever call brought the total (docs/design/counter-lost.md).
+
+Exactness: a total has seven decimal digits (a relative error of 5e-7), a float of the simulator's wire 24
+bits, some counters three decimals. The grid is ``span * 2**-18``, the span a power of two of four bursts or
+more, and 2**-9 at the least. Up to two spans the rounding error stays under 0.3 of a step; beyond that, or
+off the grid, nothing is read.
 """
 
 from __future__ import annotations
--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -12,12 +12,15 @@
 from collections.abc import Callable
 
 from aniseshed import interface as api
-from aniseshed.account import CALLS_SAVED, REPORT_SHARE, Account, Fate, Pace, Question
+from aniseshed.account import CALLS_SAVED, Account, Pace, SmoothBursty
+from aniseshed.bound import bounds
 from aniseshed.interface import Ask, Group, Health, ListKind, Outcome, Repeat, Trust
 from aniseshed.marks import place
+from aniseshed.question import Fate, Question
 from aniseshed.roll import BEAT_NS, EPOCH_NS, GROUP, SECOND_NS, Beat, Roll
+from aniseshed.spent import TOLD_A_SECOND, WORDS_SAVED, Spent
 from aniseshed.state import Attempt, Level, Server, Work, apply_list
-from aniseshed.weather import Weather, bound_units
+from aniseshed.weather import Weather
 
 LATE_CALLS = 500  # remembered after their time-out: what a silent second leaves, a few hundred bytes each
 COUNTER_WAITS = 3.0  # counter time-outs that a client must have left for a question
@@ -65,6 +68,7 @@
         self.last_call, self.start_ns = 0, -1
         self.weather = Weather(settings.counter_timeout_ns)
         self.roll = Roll(settings.index, self.limiters, 0, settings.may_tell)
+        self.spent = Spent(SmoothBursty(0, TOLD_A_SECOND / self.limiters, WORDS_SAVED, 1.0))
         self.pace = Pace(self.limiters, settings.counter_timeout_ns)
         self.usual_ns = [0.0] * len(settings.classes)  # of one unit's answer
         self.longest_ns = [0] * len(settings.classes)
@@ -155,10 +159,11 @@
         timely = work.request.patience_ns > COUNTER_WAITS * self.settings.counter_timeout_ns
         call = timely and not short and self.may_call(1 + (CALLS_SAVED - 1) * (1 - work.rank))
         # Guards against all limiters of a large set taking ahead at once what none of their slices can hold.
-        sliver = call and customer.bucket.max_permits < work.units
+        sliver = customer.bucket.max_permits < work.units
+        told = sliver and not silent and self.spent.wait_ns(self.now_ns, customer.name)
         work.asking = True
         short = short and not silent  # then the slice alone decides
-        if customer.bucket.next_free_ticket_ns <= self.now_ns and not short and not sliver:
+        if customer.bucket.next_free_ticket_ns <= self.now_ns and not (short or (sliver and call) or told):
             self.charge(work)
             self.send(work)
         elif call:
@@ -255,16 +260,22 @@
     def on_word(self, event: api.PeerMessage) -> None:
         if event.payload == WORD:
             self.roll.word(self.now_ns, event.sender)
+        else:
+            self.spent.heard(self.now_ns, event.payload)
 
     def report(self) -> api.Report:
         """The state of the counter, since when, and the bound on the overrun of each plan's customers."""
-        weather, size = self.weather, self.limiters
-        largest = float(max(1, self.settings.largest_units))
-        bounds = tuple(
-            bound_units(weather.state, plan.rate, plan.burst, size, largest, REPORT_SHARE, weather.timeout_ns)
-            for plan in self.settings.plans
-        )
-        return api.Report(weather.state, weather.since_ns, bounds, tuple(sorted(self.roll.split)))
+        told = bounds(self.settings, self.limiters, self.weather)
+        return api.Report(self.weather.state, self.weather.since_ns, told, tuple(sorted(self.roll.split)))
+
+    def tell_spent(self, work: Work) -> None:
+        """Tell the others of a large set that the counter refused what their slices cannot hold either."""
+        rank = work.plan.rate * work.plan.price / max(p.rate * p.price for p in self.settings.plans)
+        customer = work.customer
+        if customer.set_size <= GROUP or customer.bucket.max_permits >= work.units or customer.room >= 1:
+            return
+        if word := self.spent.refused(self.now_ns, customer.name, rank):
+            self.actions.append(api.Tell(None, word))
 
     def on_counted(self, event: api.Counted) -> None:
         if beat := self.beats.pop(event.call, None):
@@ -299,6 +310,8 @@
             oldest = next(iter(self.questions))
             if len(self.questions) > LATE_CALLS and self.questions[oldest].fate is not Fate.OUT:
                 del self.questions[oldest]
+        elif heard and work and question.fate is Fate.ENDED and self.settings.may_tell:
+            self.tell_spent(work)
         # Guards against ending with a debt untold that the others take for handed on.
         doubted = doubted or customer.handed > handed
         again = customer.wants_back() or (doubted and customer.wants_to_tell())
@@ -317,6 +330,8 @@
         if customer.total is not None and not self.weather.silent(self.now_ns):
             short = work.units - customer.refill(self.now_ns)
             wait_ns = max(wait_ns, round(short / customer.rate * SECOND_NS))
+        if customer.bucket.max_permits < work.units and not self.weather.silent(self.now_ns):
+            wait_ns = max(wait_ns, self.spent.wait_ns(self.now_ns, customer.name))
         if wait_ns > HOLD_AIM * (work.aim_ns - self.now_ns):
             return self.refuse(work, wait_ns)
         self.charge(work)  # told now, so that nobody grants it meanwhile
--- a/aniseshed/roll.py
+++ b/aniseshed/roll.py
@@ -1,15 +1,11 @@
 """The roll call: which limiters talk to the same counter as this one (docs/design/counter-lost.md).
 
-A counter that splits answers both halves well, and each half grants the whole quota. So each limiter turns
-its digit of one number once a beat: the digits that move are the limiters on this side. One that does not
-answer is gone, and its traffic has come to the others, or it spends on the other side: a word from it by
-datagram tells, and where limiters may not send any, it is taken for split. That can refuse what a quota had
-room for, and never passes it.
-
-One number holds the digits, of base 4, of ``GROUP`` limiters next to one another by index: 65,535 at most,
-exact in the seven digits of a total. A digit goes 0, 1, 2, 3, 1; a single bit would look still to whoever
-reads it after two turns. No digit is turned again before the last turn is resolved, so none carries into the
-next one. Limiters of other groups are taken for present."""
+A counter that splits grants the whole quota on both sides. So each limiter turns its digit of one number once
+a beat. One whose digit stands still is gone, or on the other side: a word from it by datagram tells, and
+where limiters may not send any, it is taken for split: that refuses too much, never too little.
+
+One number holds the digits, of base 4, of ``GROUP`` limiters in a row: exact in the seven digits of a total.
+They go 0, 1, 2, 3, 1, and none is turned again before the last turn is resolved, so none carries."""
 
 from __future__ import annotations
 
--- a/aniseshed/weather.py
+++ b/aniseshed/weather.py
@@ -1,13 +1,4 @@
-"""The counter's states, told apart from evidence, and the overrun that each allows.
-
-| state | evidence | what holds |
-| --- | --- | --- |
-| well | answers in time | slices and grants |
-| slow | half of the calls end without an answer in time | slices; grants where an answer is in time |
-| silent | no answer for ``SILENT_WAITS`` time-outs, and calls that went without | the slices alone |
-| replaced | this limiter's digit of the roll is gone | each limiter tells its own share again |
-| split | a limiter lives and does not answer the roll | each side grants its limiters' part of the quota |
-| back | answers again after silence or a split, for a window | as well; debts are carried over |
+"""The counter's states, told apart from evidence; docs/operating/counter.md has what holds in each.
 
 A counter that lies (noise for numbers) is silent here: what is no number is no answer.
 """
@@ -17,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from aniseshed.roll import ABSENT_BEATS, BEAT_NS, SECOND_NS
+from aniseshed.roll import SECOND_NS
 
 SILENT_WAITS = 6.0  # time-outs without any answer: a connection that went silent is left after one
 GAIN = 0.1  # weight of one call's end in the share of misses
@@ -26,12 +17,12 @@
 
 
 class State(Enum):
-    WELL = "well"
-    SLOW = "slow"
-    SILENT = "silent"
-    REPLACED = "replaced"
-    SPLIT = "split"
-    BACK = "back"
+    WELL = "well"  # answers in time
+    SLOW = "slow"  # half of the calls end without one
+    SILENT = "silent"  # no answer for SILENT_WAITS time-outs, and calls that went without
+    REPLACED = "replaced"  # this limiter's digit of the roll is gone
+    SPLIT = "split"  # a limiter lives and does not answer the roll
+    BACK = "back"  # answers again after silence or a split, for a window
 
 
 @dataclass(slots=True)
@@ -84,26 +75,3 @@
         if changed:
             self.since_ns = now_ns
         return changed
-
-
-def bound_units(
-    state: State, rate: float, burst: float, size: float, largest: float, tell_share: float, timeout_ns: int
-) -> float:
-    """Units that limiters of a set may pass beyond one customer's quota, in all, from a change on and for the
-    window (2.5 bursts of refill) after it.  Each further window may add what ``WELL`` allows, and the rate
-    times the difference of the limiters' clocks: a window's edge hides as much.
-
-    ``rate`` in units a second, ``burst`` and ``largest`` (one request) in units, ``tell_share`` the part of
-    its slice of the room that a limiter spends before it tells, ``timeout_ns`` that of a
-    counter call.  Derived in docs/design/counter-lost.md."""
-    unseen = (size - 1) * (tell_share * burst / size + largest)  # spent by others and not told yet
-    if state in (State.SILENT, State.SLOW):
-        # Each slice may take one request ahead, until silence is told the store refills for all, and when the
-        # counter is back a burst may be believed in which a limiter that has not spoken yet has spent.
-        return unseen + size * largest + rate * (SILENT_WAITS + 1) * timeout_ns / SECOND_NS + burst
-    if state is State.SPLIT:
-        # Two sides spend one store until the roll shows it; after that each keeps to its part.
-        return unseen + burst + rate * (ABSENT_BEATS + 1) * BEAT_NS / SECOND_NS
-    if state is State.REPLACED:
-        return 2 * unseen + size * largest  # what the lost count knew and one limiter did not
-    return unseen
--- a/tests/counter_model.py
+++ b/tests/counter_model.py
@@ -15,7 +15,8 @@
 
 from aniseshed import interface as api
 from aniseshed.account import REPORT_SHARE, WINDOW_BURSTS
-from aniseshed.weather import State, bound_units
+from aniseshed.bound import bound_units
+from aniseshed.weather import State
 
 STEP_NS = 25 * MS
 TIMEOUT_NS = 30 * MS
--- /dev/null
+++ b/tests/test_spent.py
@@ -0,0 +1,141 @@
+"""Word between limiters of customers that the counter has just refused."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from helpers import SECOND, START, Bench
+from test_thin_traffic import FLEET, LIMITERS
+
+from aniseshed import interface as api
+from aniseshed.account import SmoothBursty
+from aniseshed.spent import KIND, MOST_KNOWN, SPENT_NS, WORDS_SAVED, Spent
+
+TOLD = replace(FLEET, may_tell=True)
+BASIC, PREMIUM = 0, 2
+
+
+def word(customer: int) -> bytes:
+    return KIND + customer.to_bytes(5, "big")
+
+
+def answered(bench: Bench, total: float | None = None, **request: object) -> int:
+    """One request, its calls answered: with ``total``, or as if nobody else spent."""
+    request_id = bench.ask(**{"set_size": 150.0, "plan": PREMIUM, **request})  # type: ignore[arg-type]
+    while bench.unanswered:
+        bench.counted(bench.unanswered[0].amount if total is None else total)
+    if bench.was_sent(request_id):
+        bench.end(request_id)
+    return request_id
+
+
+def without_calls(settings: api.Settings = TOLD) -> Bench:
+    """A limiter that has none of its calls left."""
+    bench = Bench(settings, servers=LIMITERS)
+    for n in range(10):
+        answered(bench, customer=10_000 + n)
+    return bench
+
+
+def words(bench: Bench) -> list[bytes]:
+    return [tell.payload for tell in bench.told if tell.payload.startswith(KIND)]
+
+
+def test_who_was_refused_by_the_counter_is_told_of_once_while_it_holds() -> None:
+    bench = Bench(TOLD, servers=LIMITERS)
+    bench.advance(10 * SECOND)
+    refused = answered(bench, 500.0, customer=7)
+    assert not bench.was_sent(refused) and refused in bench.finals
+    assert words(bench) == [word(7)] and all(tell.peer is None for tell in bench.told)
+    answered(bench, 500.0, customer=7)
+    assert words(bench) == [word(7)], "all have heard it"
+    bench.advance(10 * SECOND)
+    answered(bench, 900.0, customer=7)
+    assert words(bench) == [word(7)] * 2
+
+
+def test_what_another_told_is_not_told_again() -> None:
+    bench = Bench(TOLD, servers=LIMITERS)
+    bench.advance(60 * SECOND)
+    bench.feed(api.PeerMessage(3, word(7)))
+    assert not bench.was_sent(answered(bench, 500.0, customer=7))
+    assert not words(bench)
+
+
+def test_nothing_is_told_where_datagrams_are_not_allowed() -> None:
+    bench = Bench(FLEET, servers=LIMITERS)
+    bench.advance(10 * SECOND)
+    assert not bench.was_sent(answered(bench, 500.0, customer=7))
+    assert not words(bench)
+
+
+@pytest.mark.parametrize(
+    ("plan", "set_size", "told"), [(BASIC, 8.0, 0), (PREMIUM, 12.0, 0), (BASIC, 12.0, 1)]
+)
+def test_only_large_sets_whose_slices_hold_less_than_the_request_are_told(
+    plan: int, set_size: float, told: int
+) -> None:
+    bench = Bench(TOLD, servers=LIMITERS)
+    bench.advance(60 * SECOND)
+    answered(bench, customer=7, plan=plan, set_size=set_size)
+    bench.limiter.customers[7].bucket.reserve(40.0)  # others of its requests took the slice ahead
+    asked = bench.ask(customer=7, plan=plan, set_size=set_size)
+    assert bench.unanswered and not bench.was_sent(asked)
+    while bench.unanswered:
+        bench.counted(500.0)
+    assert asked in bench.finals and len(words(bench)) == told
+
+
+def test_who_hears_leaves_the_customer_to_the_counter_until_the_word_ends() -> None:
+    bench = without_calls()
+    bench.feed(api.PeerMessage(3, word(7)))
+    refused, other = answered(bench, customer=7), answered(bench, customer=8)
+    final = bench.finals[refused]
+    assert isinstance(final, api.Refuse) and 0 < final.retry_after_ns <= SPENT_NS
+    assert bench.was_sent(other), "nobody told of this one"
+    calls = len(bench.counts)
+    bench.advance(SECOND)
+    assert bench.was_sent(answered(bench, customer=7)), "a call is free again, and the counter grants it"
+    assert len(bench.counts) > calls
+    late = without_calls()
+    late.feed(api.PeerMessage(3, word(7)))
+    late.advance(SPENT_NS)
+    for n in range(10):
+        answered(late, customer=20_000 + n)
+    assert late.was_sent(answered(late, customer=7))
+
+
+def test_a_slice_that_holds_the_request_is_the_customers_own() -> None:
+    bench = without_calls()
+    bench.feed(api.PeerMessage(3, word(7)))
+    assert bench.was_sent(answered(bench, customer=7, set_size=2.0))
+
+
+def test_while_the_counter_is_silent_the_slice_alone_decides() -> None:
+    bench = without_calls()
+    bench.feed(api.PeerMessage(3, word(7)))
+    bench.limiter.weather.unheard_ns = bench.now - SECOND
+    assert bench.limiter.weather.silent(bench.now)
+    assert bench.was_sent(answered(bench, customer=7))
+
+
+def test_the_plan_that_loses_most_is_told_of_first() -> None:
+    spent = Spent(SmoothBursty(START, 0.1, WORDS_SAVED, 1.0))
+    assert spent.refused(START, 1, 0.04) is None, "the cheapest wait until all words are saved"
+    assert spent.refused(START, 2, 1.0) == word(2)
+    assert spent.refused(START, 3, 1.0) is None, "one in ten seconds"
+    assert spent.refused(START + 40 * SECOND, 1, 0.04) == word(1)
+
+
+def test_noise_is_passed_over_and_what_is_known_stays_bounded() -> None:
+    spent = Spent(SmoothBursty(START, 0.1, WORDS_SAVED, 1.0))
+    for payload in (b"", b"S", b"S1234", b"S123456", b"here!!", bytes(6), word(7)[::-1]):
+        spent.heard(START, payload)
+    assert not spent.until_ns
+    for customer in range(MOST_KNOWN + 100):
+        spent.heard(START, word(customer))
+    assert len(spent.until_ns) == MOST_KNOWN and spent.wait_ns(START, 0) == 0
+    for n in range(MOST_KNOWN):
+        spent.heard(START + SPENT_NS + n, word(MOST_KNOWN + 100 + n % 2))
+    assert len(spent.until_ns) <= 3
