Tests for two guards that had none: large sets stay whole, a bad entry is told once

Read over once more, two guards of the full fleet's change had no test that fails without them: Roll.part for a set larger than a group, and the list's complaints, which come again with each whole list. Each was broken once; its new test alone failed. No behaviour changes.

--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
 from typing import Any
@@ -11,7 +12,7 @@
 
 from aniseshed.interface import Health, ListKind
 from hookport.config import Names
-from hookport.discovery import LONGEST_LINE, Watch, read_list
+from hookport.discovery import LONGEST_LINE, Discovery, Watch, read_list
 
 NAMES = Names({}, {}, {"a": 0}, {"m": 0})
 
@@ -97,3 +98,15 @@
 def test_what_is_no_list_is_an_error(told: Any) -> None:
     with pytest.raises(ValueError, match="no list of servers"):
         read_list(told, NAMES, ListKind.FULL)
+
+
+def test_what_is_wrong_with_an_entry_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        discovery = Discovery(loop, ("127.0.0.1", 1), NAMES, lambda *_: None, 1.0, False)
+        for generation in range(3):
+            discovery.line(change(generation, {**row("s-1", 1), "lifecycle": "BORED"}, whole=True))
+        discovery.close()
+
+    asyncio.run(scenario())
+    assert len(caplog.messages) == 1 and "instances[0] is left out" in caplog.messages[0]
--- a/tests/test_thin_traffic.py
+++ b/tests/test_thin_traffic.py
@@ -12,6 +12,7 @@
 
 from aniseshed.account import Pace
 from aniseshed.interface import Counted, Outcome
+from aniseshed.roll import Roll
 
 LIMITERS = 200
 SEARCH, CLAIM = 0, 1
@@ -162,3 +163,8 @@
     assert pace.calls.next_free_ticket_ns > now_ns + 10 * SECOND
     pace.back(now_ns)
     assert pace.free(now_ns + SECOND, 0.0)
+
+
+def test_a_set_larger_than_a_group_is_whole_whoever_is_missed_of_one() -> None:
+    roll = Roll(0, LIMITERS, START, True, split=frozenset({1, 2}))
+    assert roll.part(0, 150) == 1.0 and roll.part(0, 4) == 0.5
