Review stand-ins: end the other limiters when one does not start

Found by reading: a failed start would have left the others running. Checked with a run command that fails: exit status 2, and no process is left.

--- a/review/standins.py
+++ b/review/standins.py
@@ -378,7 +378,11 @@
                 "known": self.discovery.whole(), "settings": self.adjust(settings(n, self.count)),
             }  # fmt: skip
             self.limiters.append(Limiter(f"n{n}", config, Path(self.scratch.name), self.record))
-        await asyncio.gather(*(limiter.start() for limiter in self.limiters))
+        try:
+            await asyncio.gather(*(limiter.start() for limiter in self.limiters))
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_: object) -> None:
