--- a/review/standins.py
+++ b/review/standins.py
@@ -454,12 +454,15 @@
         return await asyncio.wait_for(case(os.environ.get("TROUBLE") != "0"), 110)
 
     async def quiet() -> int:
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)  # cancelled connections
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.set_exception_handler(lambda loop, context: None)  # cancelled connections
+        for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)  # the limiters are ended on the way out
         return await limited()
 
     try:
         status = asyncio.run(quiet())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {type(error).__name__}: {error}", file=sys.stderr)
         status = 2
     sys.exit(status)
