Drop idle accounts from the front instead of copying all of them for each new customer

Cause: `Limiter.account_for` copied the list of all accounts for each customer not seen before, to drop idle ones, and mostly stopped at the first. The work grew with the square of the customers.

Change: accounts are an OrderedDict, least recently used first, of which the idle ones are taken off the front. A plain dict would search past all that were deleted before its first key. What is dropped, and when, is as before.

test_new_customer_costs_the_same_however_many_are_known fails before (500 accounts visited for one new customer).

--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -9,7 +9,7 @@
 import math
 import random
 import zlib
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 
 from aniseshed import interface as api
@@ -69,7 +69,9 @@
         self.settings, self.random = settings, random.Random(seed)
         self.now_ns, self.actions = 0, list[api.Action]()
         self.timer_token, self.limiters = 0, max(1, settings.limiters)
-        self.accounts: dict[int, Account] = {}
+        # By customer, from the least recently used.  An OrderedDict finds its first key at once; a plain dict
+        # searches past all that were deleted before it.
+        self.accounts: OrderedDict[int, Account] = OrderedDict()
         self.servers: dict[bytes, Server] = {}
         self.server_order, self.ejected = list[Server](), set[Server]()
         self.pending: dict[int, PendingRequest] = {}
@@ -227,37 +229,40 @@
 
     def account_for(self, request: api.Request, plan: api.Plan) -> Account:
         """The account of the request's customer; for a new one, idle accounts are dropped."""
-        account = self.accounts.pop(request.customer, None)
-        if account is None:
-            now_ns, size = self.now_ns, min(max(1.0, request.set_size), self.limiters)
-            quota, ceiling = (plan.rate, plan.burst), (plan.ceiling_rate, plan.ceiling_burst)
-            self.partition_detector.enabled = self.partition_detector.enabled or size <= GROUP_SIZE
-            digit = assign_digit(self.settings.index, self.limiters, round(size))
-            account = Account.create(
-                now_ns,
-                request.customer,
-                size,
-                quota,
-                ceiling,
-                digit,
-                now_ns - self.start_ns,
-                self.counter_health,
-            )
-            for idle in list(self.accounts.values()):  # from the least recently used
-                if (
-                    idle.open_calls
-                    or idle.open_attempts
-                    or now_ns - idle.last_used_ns < ACCOUNT_IDLE_WINDOWS * idle.window_ns
-                ):
-                    break
-                del self.accounts[idle.name]
-        self.accounts[request.customer] = account
+        if account := self.accounts.get(request.customer):
+            self.accounts.move_to_end(request.customer)
+        else:
+            self.drop_idle_accounts()
+            account = self.accounts[request.customer] = self.create_account(request, plan)
         account.last_used_ns = self.now_ns
         quota_share = self.partition_detector.quota_share(round(request.set_start), round(account.set_size))
         if quota_share != account.quota_share:
             account.rescale(self.now_ns, quota_share)
         return account
 
+    def create_account(self, request: api.Request, plan: api.Plan) -> Account:
+        set_size = min(max(1.0, request.set_size), self.limiters)
+        self.partition_detector.enabled = self.partition_detector.enabled or set_size <= GROUP_SIZE
+        return Account.create(
+            self.now_ns,
+            request.customer,
+            set_size,
+            (plan.rate, plan.burst),
+            (plan.ceiling_rate, plan.ceiling_burst),
+            assign_digit(self.settings.index, self.limiters, round(set_size)),
+            self.now_ns - self.start_ns,
+            self.counter_health,
+        )
+
+    def drop_idle_accounts(self) -> None:
+        """Drop the least recently used accounts, up to the first that is still needed."""
+        while self.accounts:
+            oldest = next(iter(self.accounts.values()))
+            idle_ns = self.now_ns - oldest.last_used_ns
+            if oldest.open_calls or oldest.open_attempts or idle_ns < ACCOUNT_IDLE_WINDOWS * oldest.window_ns:
+                return
+            self.accounts.popitem(last=False)
+
     def may_call_counter(self, min_saved_calls: float) -> bool:
         """Whether the counter may be called now, with at least this many calls saved up by the pacing."""
         return self.settings.has_counter and self.call_pacer.is_free(self.now_ns, min_saved_calls)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,11 +1,13 @@
 """The token bucket by worked examples of SmoothBursty, and quotas when the counter fails."""
 
+from collections import OrderedDict
+from collections.abc import Iterator
 from dataclasses import replace
 
 from helpers import MS, SECOND, SETTINGS, START, Bench
 
 from aniseshed import interface as api
-from aniseshed.account import SmoothBursty
+from aniseshed.account import Account, SmoothBursty
 
 
 def spend_slice(bench: Bench) -> None:
@@ -176,6 +178,28 @@
     assert 1 not in bench.limiter.accounts
 
 
+class CountingAccounts(OrderedDict[int, Account]):
+    """Accounts that count how many of them are visited by iteration."""
+
+    visited = 0
+
+    def values(self) -> Iterator[Account]:  # type: ignore[override]
+        for account in super().values():
+            self.visited += 1
+            yield account
+
+
+def test_new_customer_costs_the_same_however_many_are_known() -> None:
+    """With a search through all accounts for each new one, a flood of new customers makes a limiter hang."""
+    bench = Bench(replace(SETTINGS, has_counter=False))
+    accounts = bench.limiter.accounts = CountingAccounts()
+    for customer in range(500):
+        bench.end_attempt(bench.request(customer=customer))
+    accounts.visited = 0
+    bench.request(customer=500)
+    assert len(accounts) == 501 and accounts.visited <= 1
+
+
 def test_settled_units_adjust_the_bucket() -> None:
     """The difference to the units charged at first must be charged when the usage is known."""
     bench = Bench(replace(SETTINGS, has_counter=False, settles_usage=True))
