Let client connections take turns, so that a flood on one does not stop the others

Cause: `Connection.process_input` handled all that a read had brought, and an answer that freed places in a connection handled on within the event of that answer. Refusals are answered at once, so MAX_PIPELINED does not hold them back: 30 connections of 1,000 searches are 30,000 commands in one iteration of the event loop, in which no socket is read and no timer runs.

Change: `InputScheduler` gives connections with waiting commands turns of four commands, eight turns an iteration of the loop. A connection that is alone is served at once, as before.

--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -11,6 +11,7 @@
 
 from hookport import resp
 from hookport.config import Address
+from hookport.input_scheduler import COMMANDS_PER_TURN, InputScheduler
 
 if TYPE_CHECKING:
     from hookport.limits import LimitCommands, Session
@@ -19,7 +20,7 @@
 
 BACKLOG = 1024
 MAX_ARGUMENTS = 8  # the longest command, HELLO with all its options, has seven
-MAX_PIPELINED = 64  # a connection with more unanswered commands is not read
+MAX_PIPELINED = 64  # unanswered commands of a connection; the next ones wait, and it is not read
 MAX_REJECTED = 16  # invalid commands on a connection that has also sent valid requests
 MAX_UNREAD_REPLY_BYTES = 1 << 20  # a client with more unread replies is disconnected
 ACCEPT_AFTER_SIGTERM_S = 0.5  # new connections still arrive for 0.4 s after SIGTERM
@@ -67,8 +68,9 @@
     """One client connection, which carries requests of many customers."""
 
     __slots__ = (
-        "pending_replies", "clients", "command_count", "closing", "parsing", "reader", "rejected_count",
-        "queue", "session", "reading_paused", "accepted_count", "transport", "write_paused",
+        "accepted_count", "clients", "closing", "command_count", "handling_commands", "input_ready",
+        "pending_replies", "queue", "reader", "reading_paused", "rejected_count", "session", "transport",
+        "write_paused",
     )  # fmt: skip
 
     def __init__(self, clients: Clients) -> None:
@@ -79,7 +81,8 @@
         self.session: Session | None = None  # set by the limit commands, if the options enable them
         self.reading_paused = False
         self.write_paused = False
-        self.parsing = False
+        self.handling_commands = False
+        self.input_ready = False  # If True, complete commands may wait to be handled.
         self.closing = False  # If True, no further command is read.
         # Commands of any kind, valid requests, invalid commands.
         self.command_count, self.accepted_count, self.rejected_count = 0, 0, 0
@@ -97,29 +100,60 @@
         self.pending_replies.clear()
 
     def data_received(self, data: bytes) -> None:
-        if not self.closing:
-            self.reader.feed(data)
-            self.process_input()
-
-    def process_input(self) -> None:
-        """Handle the commands that are complete, up to the limit of unanswered ones."""
-        if self.parsing:
+        if self.closing:
             return
-        self.parsing = True
+        self.reader.feed(data)
+        self.input_ready = True
+        if self.clients.scheduler.is_idle():
+            self.handle_commands(COMMANDS_PER_TURN)
+        else:
+            self.proceed(False)
+
+    def handle_commands(self, max_commands: int) -> None:
+        """Handle up to ``max_commands`` complete commands; queue for another turn if more may be ready."""
         count_before = self.command_count
+        self.handling_commands = True
         try:
-            while not self.closing and len(self.pending_replies) < MAX_PIPELINED and not self.write_paused:
-                if (message := self.reader.gets()) is False:
-                    break
-                self.command_count += 1
-                self.handle_command(message)
+            while self.may_handle_command() and self.command_count - count_before < max_commands:
+                self.handle_next_command()
         except resp.StreamError as error:
             self.close_with_error(str(error))
         finally:
-            self.parsing = False
-        if not self.closing:
-            self.update_reading()
-            self.update_queue(self.command_count > count_before)
+            self.handling_commands = False
+        self.proceed(self.command_count > count_before)
+
+    def proceed(self, restart: bool) -> None:
+        """Do what comes next after commands were received, handled or answered: close, read on, or wait.
+
+        ``restart`` tells whether the client did something, which restarts its time-out."""
+        if self.closing or (self.clients.draining and self.is_finished()):
+            return self.close_when_answered()
+        if self.may_handle_command():
+            self.clients.scheduler.add(self)
+        self.update_reading()
+        self.update_queue(restart)
+
+    def is_finished(self) -> bool:
+        """Whether all commands that were received completely are answered."""
+        return not self.pending_replies and not self.input_ready
+
+    def may_handle_command(self) -> bool:
+        """Whether the next command may be handled, if it is complete."""
+        return (
+            self.input_ready
+            and not self.closing
+            and not self.write_paused
+            and len(self.pending_replies) < MAX_PIPELINED
+        )
+
+    def handle_next_command(self) -> None:
+        """Handle the next command, or find that it is not complete."""
+        if (message := self.reader.gets()) is False:
+            self.input_ready = False
+            return
+        self.input_ready = self.reader.has_unparsed_data()
+        self.command_count += 1
+        self.handle_command(message)
 
     def close_with_error(self, reason: str) -> None:
         """Send an error and close the connection of a client that violates the protocol or is too slow.
@@ -187,16 +221,12 @@
             return self.transport.abort()
         if self.closing or (self.clients.draining and not pending_replies):
             self.close_when_answered()
-        elif not self.parsing:
-            if self.reader.has_unparsed_data():
-                self.process_input()  # commands that had to wait for the limit of unanswered ones
-            else:
-                self.update_reading()
-                self.update_queue(False)
+        elif not self.handling_commands:
+            self.proceed(False)
 
     def update_reading(self) -> None:
         """Pause reading while the client is behind, so that one client cannot fill the memory."""
-        pause = self.closing or self.write_paused or len(self.pending_replies) >= MAX_PIPELINED
+        pause = self.closing or self.write_paused or self.input_ready
         if pause != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
@@ -208,19 +238,18 @@
 
     def resume_writing(self) -> None:
         self.write_paused = False
-        if self.closing:
-            return self.close_when_answered()
-        self.update_queue(True)
-        self.process_input()
+        self.proceed(True)
 
     def update_queue(self, restart: bool) -> None:
         """Enter the queue of what the client has to do next; ``restart`` its time-out if it did something."""
         clients, queue = self.clients, None
         if self.write_paused or self.closing:
             queue = clients.unread_replies
+        elif self.input_ready:
+            queue = None  # the daemon has to do something next, not the client
         elif not self.command_count:
             queue = clients.no_command
-        elif len(self.pending_replies) < MAX_PIPELINED and self.reader.has_unparsed_data():
+        elif self.reader.has_unparsed_data():
             queue = clients.partial_command
         elif not self.pending_replies:
             queue = clients.idle if self.accepted_count else clients.no_request
@@ -257,6 +286,7 @@
         max_connections: int,
     ) -> None:
         self.loop, self.on_request, self.max_connections = loop, on_request, max_connections
+        self.scheduler = InputScheduler(loop)
         self.connections: dict[Connection, None] = {}
         self.no_command = WaitQueue(2.0, "no command in time")  # for the first command
         self.partial_command = WaitQueue(2.0, "no command in time")  # for the rest of a command
@@ -339,6 +369,7 @@
 
     def remove_connection(self, connection: Connection) -> None:
         connection.leave_queue()
+        self.scheduler.remove(connection)
         self.connections.pop(connection, None)
         if self.draining and not self.connections:
             self.done.set()
@@ -356,9 +387,10 @@
         if not self.connections:
             self.done.set()
         for connection in list(self.connections):
-            if not connection.pending_replies:
+            if connection.is_finished():
                 connection.close_when_answered()
 
     def close(self) -> None:
+        self.scheduler.close()
         if self.timeout_timer:
             self.timeout_timer.cancel()
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -1,8 +1,9 @@
 """Clients that send invalid input, stay silent or do not read: each costs little and is closed soon."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
+import hiredis
 import pytest
 import uvloop
 from world import Client, World, query, reply_when_released, serve, submit, until
@@ -278,3 +279,33 @@
             assert world.node.clients.close_counts["evicted while idle"] == 3
 
     run(scenario)
+
+
+def test_flood_on_one_connection_delays_the_others_by_a_few_commands_only() -> None:
+    """With all that a read has brought handled at once, a limiter answers nobody for seconds."""
+    flood_size = 1000
+
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client, flooding = await (await world.start()).client(), await world.client()
+            assert await client.ask(b"PING") == b"PONG"
+            node = world.node
+            assert node
+            handled: list[object] = []
+            flood_arrived = asyncio.Event()
+
+            def refuse(arguments: Sequence[object], reply: clients.PendingReply) -> None:
+                handled.append(arguments)
+                flood_arrived.set()
+                reply.complete(resp.busy(0))
+
+            node.clients.on_request = refuse
+            flooding.writer.write(
+                b"".join(hiredis.pack_command(query(n, customer=n)) for n in range(flood_size))
+            )
+            await flood_arrived.wait()
+            assert await client.ask(b"PING") == b"PONG"
+            assert len(handled) < flood_size / 2
+            assert len([await flooding.answer() for _ in range(flood_size)]) == len(handled)
+
+    run(scenario)
