Answer commands that wait on a connection before the drain closes it

Cause: `Connection.flush` closed a connection of a daemon that drains as soon as nothing was pending, before it looked at what was read and not handled yet. With 64 unanswered commands the rest waits in the reader; where the first answer frees all 64, nothing is pending for a moment, and what waits was dropped.

Change: only `proceed` closes a draining connection, when nothing is pending and nothing read waits to be handled.

The test handler that holds claims moves to the scripted servers, since a second test needs it.

--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -219,9 +219,7 @@
         if self.write_paused and self.transport.get_write_buffer_size() > MAX_UNREAD_REPLY_BYTES:
             log.warning("closing the connection of a client that does not read its replies")
             return self.transport.abort()
-        if self.closing or (self.clients.draining and not pending_replies):
-            self.close_when_answered()
-        elif not self.handling_commands:
+        if not self.handling_commands:
             self.proceed(False)
 
     def update_reading(self) -> None:
--- a/hookport/rehearsal/scripted.py
+++ b/hookport/rehearsal/scripted.py
@@ -2,7 +2,7 @@
 
 Unlike the simulated systems in ``standins``, they have no behaviour of their own. A test passes a handler
 that is called for each command and writes the exact bytes of the reply: ``serve``, ``reply_when_released``,
-``never_reply``, ``reset`` and ``reply_with(...)`` are the common ones.
+``hold_submits``, ``never_reply``, ``reset`` and ``reply_with(...)`` are the common ones.
 """
 
 from __future__ import annotations
@@ -76,6 +76,13 @@
     writer.write(VALUE)
 
 
+async def hold_submits(stub: Stub, arguments: list[bytes], writer: asyncio.StreamWriter) -> None:
+    """Reply to SVC.SUBMIT when released, and to any other command at once."""
+    if arguments[0] == b"SVC.SUBMIT":
+        await stub.release.wait()
+    writer.write(VALUE)
+
+
 async def never_reply(stub: Stub, arguments: list[bytes], writer: asyncio.StreamWriter) -> None:
     pass
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,13 +9,7 @@
 
 import hiredis
 import pytest
-from world import VALUE, Stub, World, query, reply_with, serve, submit, until, within_timeout
-
-
-async def hold_submits(stub: Stub, args: list[bytes], writer: asyncio.StreamWriter) -> None:
-    if args[0] == b"SVC.SUBMIT":
-        await stub.release.wait()
-    writer.write(VALUE)
+from world import World, hold_submits, query, reply_with, serve, submit, until, within_timeout
 
 
 def test_a_process_from_start_to_sigterm(tmp_path: pathlib.Path) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,6 +10,7 @@
     VALUE,
     Stub,
     World,
+    hold_submits,
     instance,
     list_update,
     never_reply,
@@ -612,3 +613,30 @@
             assert len(servers.connections) == 1
 
     run(scenario)
+
+
+def only_the_first_is_unanswered(connection: clients.Connection) -> bool:
+    unanswered = [pending.reply is None for pending in connection.pending_replies]
+    return unanswered == [True] + [False] * (clients.MAX_PIPELINED - 1)
+
+
+def test_commands_beyond_the_pipeline_limit_are_answered_while_the_daemon_drains() -> None:
+    """At SIGTERM a connection must not be closed while commands that were read wait for earlier replies."""
+    command_count = clients.MAX_PIPELINED + 20
+
+    async def scenario() -> None:
+        async with World(hold_submits) as world:
+            client = await (await world.start()).client()
+            client.send(*submit(0))
+            for n in range(1, command_count):
+                client.send(*query(n, customer=n))
+            await until(lambda: only_the_first_is_unanswered(connection_of(world)))
+            assert world.node
+            world.node.clients.drain()
+            world.stubs[0].release.set()
+            assert len([await client.answer() for _ in range(command_count)]) == command_count
+            with pytest.raises(EOFError):
+                await client.answer()
+            await until(lambda: world.node and world.node.clients.done.is_set())
+
+    run(scenario)
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,6 +18,7 @@
     Discovery,
     Handler,
     Stub,
+    hold_submits,
     never_reply,
     reply_when_released,
     reply_with,
@@ -28,9 +29,9 @@
 )
 
 __all__ = [
-    "VALUE", "Client", "Discovery", "Handler", "Stub", "World", "list_update", "reply_when_released",
-    "never_reply", "query", "reset", "instance", "reply_with", "serve", "settings", "submit", "until",
-    "within_timeout",
+    "VALUE", "Client", "Discovery", "Handler", "Stub", "World", "hold_submits", "instance", "list_update",
+    "never_reply", "query", "reply_when_released", "reply_with", "reset", "serve", "settings", "submit",
+    "until", "within_timeout",
 ]  # fmt: skip
 
 MS = 1_000_000
