Refuse requests that are read when the process may soon be killed

Cause: the end of the shutdown answered what was open, and nothing told the node that what comes after it has no time left either.

Change: from then on requests, and limit commands, are refused at once, which is true: nothing of them was sent.

test_commands_that_wait_behind_others_at_the_end_of_a_shutdown_are_refused and test_limit_requests_after_the_end_of_a_shutdown_are_refused_at_once fail before.

--- a/hookport/limits/commands.py
+++ b/hookport/limits/commands.py
@@ -38,6 +38,8 @@
 class Daemon(Protocol):
     """The part of the daemon that limit commands use."""
 
+    refuses_requests: bool
+
     def now_ns(self) -> int: ...
     def new_id(self) -> int: ...
     def feed(self, event: api.Event) -> None: ...
@@ -121,7 +123,7 @@
         now_ns, parameters = self.daemon.now_ns(), (command.customer, fields)
         if verb == TAKE and (record := self.ledger.find(now_ns, key)):
             return self.handle_repeat(connection, record, parameters)
-        if len(self.pending) >= self.options.most_open:
+        if self.daemon.refuses_requests or len(self.pending) >= self.options.most_open:
             return connection.send_reply(self.encode_refusal(self.settings.max_retry_after_ns))
         pending = PendingCommand(fields.units, None, None)
         if verb == TAKE:
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -88,6 +88,7 @@
         self.events: deque[api.Event] = deque()
         self.processing_events = False
         self.stop_timer: asyncio.TimerHandle | None = None
+        self.refuses_requests = False  # If True, a server could not answer before a SIGKILL.
         self.open_requests: dict[int, OpenRequest] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.last_request_id, self.open_request_bytes = 0, 0
@@ -224,7 +225,10 @@
             self.clients.shut_down()
 
     def answer_all(self) -> None:
-        """Answer all open requests, including those whose deadline is after the possible SIGKILL."""
+        """Answer all open requests, including those whose deadline is after the possible SIGKILL.
+
+        Requests that waited behind them on their connections are refused from now on."""
+        self.refuses_requests = True
         for request_id in list(self.open_requests):
             if request_id in self.open_requests:
                 self.request_expired(request_id)
@@ -263,7 +267,8 @@
         self.register_client_id(command.request_id)
         fields = command.fields
         memory_full = self.open_request_bytes > MAX_BODY_SHARE * self.config.memory_limit_bytes
-        if memory_full or len(self.open_requests) >= (self.settings.max_pending or 20_000):
+        too_many = len(self.open_requests) >= (self.settings.max_pending or 20_000)
+        if self.refuses_requests or memory_full or too_many:
             return pending_reply.complete(resp.busy(self.settings.max_retry_after_ns))
         deadline_ns = self.settings.classes[fields.class_index].deadline_ns
         timeout_ns = min(max(1, command.wait_ms - REPLY_MARGIN_MS) * MS_NS, deadline_ns)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -202,6 +202,17 @@
     run_scenario(scenario)
 
 
+def test_limit_requests_after_the_end_of_a_shutdown_are_refused_at_once() -> None:
+    async def scenario(world: World) -> None:
+        client = await world.client()
+        assert world.node and world.node.limit_commands
+        world.node.answer_all()
+        assert await client.ask(*take(b"a")) == [0, 0, 1000]
+        assert not world.node.limit_commands.pending and not world.node.limiter.accounts
+
+    run_scenario(scenario)
+
+
 def test_invalid_commands_get_an_error_and_too_many_close_the_connection() -> None:
     async def scenario(world: World) -> None:
         client = await world.client()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -640,3 +640,26 @@
             await until(lambda: world.node and world.node.clients.done.is_set())
 
     run(scenario)
+
+
+def test_commands_that_wait_behind_others_at_the_end_of_a_shutdown_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Sent to a server at that time, they would get no answer before the process is killed."""
+    command_count = clients.MAX_PIPELINED + 20
+
+    async def scenario() -> None:
+        monkeypatch.setattr(node, "KILL_AFTER_NS", 0)
+        async with World(never_reply) as world:
+            client = await (await world.start()).client()
+            for n in range(command_count):
+                client.send(*query(n, customer=n))
+            await until(lambda: len(connection_of(world).pending_replies) == clients.MAX_PIPELINED)
+            assert world.node
+            world.node.shut_down()
+            replies = [str(await client.answer()) for _ in range(command_count)]
+            assert replies[clients.MAX_PIPELINED :] == ["BUSY 1000"] * 20
+            assert all(int(arguments[2], 16) < clients.MAX_PIPELINED for arguments in commands_sent(world))
+            await until(lambda: world.node and world.node.clients.done.is_set())
+
+    run(scenario)
