Notice that a client has closed its connection while its commands wait

Cause: a connection with 64 unanswered commands was not read, so its end was not seen.

Change: a connection is read on while at most 128 KiB of commands wait, and its end drops them. What one connection can hold grows by that much at most; a single read could bring 250 KB before and can now.

test_client_that_closes_is_noticed_while_its_commands_wait fails before: 67 commands are handled instead of 64.

--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -20,7 +20,10 @@
 
 BACKLOG = 1024
 MAX_ARGUMENTS = 8  # the longest command, HELLO with all its options, has seven
-MAX_PIPELINED = 64  # unanswered commands of a connection; the next ones wait, and it is not read
+MAX_PIPELINED = 64  # unanswered commands of a connection; the next ones wait
+# A connection is not read while more bytes of commands wait.  Up to that it is, because only reading shows
+# that the client has closed its connection.
+MAX_WAITING_BYTES = 128 * 1024
 MAX_REJECTED = 16  # invalid commands on a connection that has also sent valid requests
 MAX_UNREAD_REPLY_BYTES = 1 << 20  # a client with more unread replies is disconnected
 ACCEPT_AFTER_SIGTERM_S = 0.5  # new connections still arrive for 0.4 s after SIGTERM
@@ -224,7 +227,8 @@
 
     def update_reading(self) -> None:
         """Pause reading while the client is behind, so that one client cannot fill the memory."""
-        pause = self.closing or self.write_paused or self.input_ready
+        too_much_waits = self.input_ready and self.reader.unparsed_bytes() > MAX_WAITING_BYTES
+        pause = self.closing or self.write_paused or too_much_waits
         if pause != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
--- a/hookport/resp.py
+++ b/hookport/resp.py
@@ -67,6 +67,9 @@
     def has_unparsed_data(self) -> bool:
         return self.position < len(self.buffer)
 
+    def unparsed_bytes(self) -> int:
+        return len(self.buffer) - self.position
+
     def gets(self) -> Message | Literal[False]:
         """Return the next message, or False if it is not complete yet. Raises StreamError."""
         if not self.has_unparsed_data() or (header := self.parse_header(self.position)) is None:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -309,3 +309,30 @@
             assert len([await flooding.answer() for _ in range(flood_size)]) == len(handled)
 
     run(scenario)
+
+
+def test_client_that_closes_is_noticed_while_its_commands_wait() -> None:
+    """Otherwise attempts begin for a client that has gone, as soon as its first command is answered."""
+
+    async def scenario() -> None:
+        async with World(reply_when_released) as world:
+            client, node = await (await world.start()).client(), world.node
+            assert node
+            handled: list[object] = []
+            on_request = node.clients.on_request
+
+            def count(arguments: Sequence[object], reply: clients.PendingReply) -> None:
+                handled.append(arguments)
+                on_request(arguments, reply)
+
+            node.clients.on_request = count
+            for n in range(clients.MAX_PIPELINED + 20):
+                client.send(*query(n, customer=n))
+            await until(lambda: len(handled) == clients.MAX_PIPELINED)
+            client.writer.close()
+            await until(lambda: not node.clients.connections)
+            assert len(handled) == clients.MAX_PIPELINED
+            assert not node.open_requests and not node.limiter.pending
+            assert not node.clients.scheduler.ready
+
+    run(scenario)
