Count the time of a command from its arrival, also if it had to wait

Turns make every command of a flood wait a little.

Cause: `Node.handle_request` counted the client's time from when the command was handled.

Change: `ArrivalTimes` keeps when the last byte of a waiting command came; the age is taken off the request's time, and a request whose time is over is refused without an attempt. Limit commands count the same way.

test_time_of_a_command_counts_from_its_arrival_also_if_it_has_to_wait fails before: requests of 100 ms are served after 475 ms.

--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, cast
 
 from hookport import resp
+from hookport.arrival_times import ArrivalTimes
 from hookport.config import Address
 from hookport.input_scheduler import COMMANDS_PER_TURN, InputScheduler
 
@@ -18,6 +19,7 @@
 
 log = logging.getLogger("hookport.clients")
 
+SECOND_NS = 1_000_000_000
 BACKLOG = 1024
 MAX_ARGUMENTS = 8  # the longest command, HELLO with all its options, has seven
 MAX_PIPELINED = 64  # unanswered commands of a connection; the next ones wait
@@ -71,14 +73,16 @@
     """One client connection, which carries requests of many customers."""
 
     __slots__ = (
-        "accepted_count", "clients", "closing", "command_count", "handling_commands", "input_ready",
-        "pending_replies", "queue", "reader", "reading_paused", "rejected_count", "session", "transport",
-        "write_paused",
+        "accepted_count", "arrival_times", "clients", "closing", "command_arrival_s", "command_count",
+        "handling_commands", "input_ready", "pending_replies", "queue", "reader", "reading_paused",
+        "rejected_count", "session", "transport", "write_paused",
     )  # fmt: skip
 
     def __init__(self, clients: Clients) -> None:
         self.clients = clients
         self.reader = resp.Reader(MAX_ARGUMENTS)
+        self.arrival_times = ArrivalTimes()
+        self.command_arrival_s = 0.0  # of the command that is being handled
         self.pending_replies: deque[PendingReply] = deque()
         self.queue: WaitQueue | None = None  # the queue of what the client has to do next
         self.session: Session | None = None  # set by the limit commands, if the options enable them
@@ -106,6 +110,7 @@
         if self.closing:
             return
         self.reader.feed(data)
+        self.arrival_times.add(len(data), self.clients.loop.time())
         self.input_ready = True
         if self.clients.scheduler.is_idle():
             self.handle_commands(COMMANDS_PER_TURN)
@@ -153,7 +158,9 @@
         """Handle the next command, or find that it is not complete."""
         if (message := self.reader.gets()) is False:
             self.input_ready = False
+            self.arrival_times.forget()
             return
+        self.command_arrival_s = self.arrival_times.last_byte_s(self.reader.unparsed_bytes())
         self.input_ready = self.reader.has_unparsed_data()
         self.command_count += 1
         self.handle_command(message)
@@ -171,6 +178,10 @@
                 on_disconnect()
         self.close_when_answered()
 
+    def command_age_ns(self) -> int:
+        """How long ago the command that is being handled arrived."""
+        return round((self.clients.loop.time() - self.command_arrival_s) * SECOND_NS)
+
     def handle_command(self, message: resp.Message) -> None:
         if not isinstance(message, list) or not message or not isinstance(message[0], bytes):
             return self.reject_command("a command is an array of bulk strings")
--- a/hookport/limits/commands.py
+++ b/hookport/limits/commands.py
@@ -123,7 +123,10 @@
         now_ns, parameters = self.daemon.now_ns(), (command.customer, fields)
         if verb == TAKE and (record := self.ledger.find(now_ns, key)):
             return self.handle_repeat(connection, record, parameters)
-        if self.daemon.refuses_requests or len(self.pending) >= self.options.most_open:
+        deadline_ns = self.settings.classes[fields.class_index].deadline_ns
+        timeout_ns = min(command.wait_ms * MS_NS or deadline_ns, deadline_ns) - connection.command_age_ns()
+        too_many = len(self.pending) >= self.options.most_open
+        if self.daemon.refuses_requests or too_many or timeout_ns <= 0:
             return connection.send_reply(self.encode_refusal(self.settings.max_retry_after_ns))
         pending = PendingCommand(fields.units, None, None)
         if verb == TAKE:
@@ -131,8 +134,6 @@
         pending_reply = PendingReply(connection)
         connection.pending_replies.append(pending_reply)
         pending.replies.append(pending_reply)
-        deadline_ns = self.settings.classes[fields.class_index].deadline_ns
-        timeout_ns = min(command.wait_ms * MS_NS or deadline_ns, deadline_ns)
         request_id = self.daemon.new_id()
         self.pending[request_id] = pending
         mode = api.RequestMode.TAKE if verb == TAKE else api.RequestMode.PEEK
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -268,10 +268,11 @@
         fields = command.fields
         memory_full = self.open_request_bytes > MAX_BODY_SHARE * self.config.memory_limit_bytes
         too_many = len(self.open_requests) >= (self.settings.max_pending or 20_000)
-        if self.refuses_requests or memory_full or too_many:
-            return pending_reply.complete(resp.busy(self.settings.max_retry_after_ns))
         deadline_ns = self.settings.classes[fields.class_index].deadline_ns
         timeout_ns = min(max(1, command.wait_ms - REPLY_MARGIN_MS) * MS_NS, deadline_ns)
+        timeout_ns -= pending_reply.connection.command_age_ns()
+        if self.refuses_requests or memory_full or too_many or timeout_ns <= 0:
+            return pending_reply.complete(resp.busy(self.settings.max_retry_after_ns))
         request_id = self.new_id()
         now_ns = self.now_ns()
         request = OpenRequest(request_id, command, pending_reply, now_ns + timeout_ns)
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -9,6 +9,7 @@
 from world import Client, World, query, reply_when_released, serve, submit, until
 
 from hookport import clients, resp
+from hookport.arrival_times import ArrivalTimes
 
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
@@ -336,3 +337,13 @@
             assert not node.clients.scheduler.ready
 
     run(scenario)
+
+
+def test_arrival_of_a_command_is_that_of_its_last_byte() -> None:
+    times = ArrivalTimes()
+    for size_bytes, now_s in ((10, 1.0), (10, 2.0), (10, 3.0)):
+        times.add(size_bytes, now_s)
+    assert [times.last_byte_s(unparsed) for unparsed in (25, 20, 19, 10, 9, 0)] == [1, 1, 2, 2, 3, 3]
+    times.forget()
+    times.add(5, 4.0)
+    assert times.last_byte_s(0) == 4.0 and len(times.chunks) == 1
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -663,3 +663,20 @@
             await until(lambda: world.node and world.node.clients.done.is_set())
 
     run(scenario)
+
+
+def test_time_of_a_command_counts_from_its_arrival_also_if_it_has_to_wait() -> None:
+    """Counted from when its turn comes, attempts begin after the client has stopped waiting."""
+
+    async def scenario() -> None:
+        async with World(hold_submits) as world:
+            client = await (await world.start()).client()
+            client.send(*submit(0, wait_ms=500))
+            for n in range(1, clients.MAX_PIPELINED + 20):
+                client.send(*query(n, wait_ms=100, customer=n))
+            replies = [str(await client.answer()) for _ in range(clients.MAX_PIPELINED + 20)]
+            assert replies[0] == "ERR failed" and set(replies[clients.MAX_PIPELINED :]) == {"BUSY 1000"}
+            sent = {int(arguments[2], 16) for arguments in commands_sent(world)}
+            assert max(sent) < clients.MAX_PIPELINED
+
+    run(scenario)
