Answer valid requests that were read with an invalid one before closing a new connection

Cause: `Connection.reject_command` closed at once, whatever had been read behind the invalid command.

Change: if a valid request waits behind it, the connection is read no more, what was read is answered in order, and then it closes. The waiting commands are looked through once. Without a valid one it closes at once, as before.

test_valid_requests_behind_an_invalid_one_are_answered_before_the_connection_closes fails before.

--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -74,8 +74,8 @@
 
     __slots__ = (
         "accepted_count", "arrival_times", "clients", "closing", "command_arrival_s", "command_count",
-        "handling_commands", "input_ready", "pending_replies", "queue", "reader", "reading_paused",
-        "rejected_count", "session", "transport", "write_paused",
+        "handling_commands", "input_ready", "last_input", "pending_replies", "queue", "reader",
+        "reading_paused", "rejected_count", "session", "transport", "write_paused",
     )  # fmt: skip
 
     def __init__(self, clients: Clients) -> None:
@@ -90,7 +90,10 @@
         self.write_paused = False
         self.handling_commands = False
         self.input_ready = False  # If True, complete commands may wait to be handled.
-        self.closing = False  # If True, no further command is read.
+        self.last_input = (
+            False  # If True, nothing more is read, and what was read is answered before the end.
+        )
+        self.closing = False  # If True, no further command is handled.
         # Commands of any kind, valid requests, invalid commands.
         self.command_count, self.accepted_count, self.rejected_count = 0, 0, 0
 
@@ -134,7 +137,8 @@
         """Do what comes next after commands were received, handled or answered: close, read on, or wait.
 
         ``restart`` tells whether the client did something, which restarts its time-out."""
-        if self.closing or (self.clients.draining and self.is_finished()):
+        ending = self.clients.draining or self.last_input
+        if self.closing or (ending and self.is_finished()):
             return self.close_when_answered()
         if self.may_handle_command():
             self.clients.scheduler.add(self)
@@ -186,7 +190,7 @@
         if not isinstance(message, list) or not message or not isinstance(message[0], bytes):
             return self.reject_command("a command is an array of bulk strings")
         verb = message[0].upper()
-        if verb in (b"SVC.QUERY", b"SVC.SUBMIT"):
+        if verb in resp.REQUEST_VERBS:
             pending = PendingReply(self)
             self.pending_replies.append(pending)
             try:
@@ -209,10 +213,14 @@
     def reject_command(self, reason: str) -> None:
         """Reply with an error; close the connection if it brought no valid request or too many invalid ones.
 
-        Otherwise a client that sends nothing but invalid commands keeps a descriptor and the CPU busy."""
+        Otherwise a client that sends nothing but invalid commands keeps a descriptor and the CPU busy. Valid
+        requests that were read with an invalid command are answered first."""
         self.rejected_count += 1
-        if not self.accepted_count or self.rejected_count > MAX_REJECTED:
-            return self.close_with_error(reason)
+        if not self.last_input and (not self.accepted_count or self.rejected_count > MAX_REJECTED):
+            if not self.reader.any_waiting(self.clients.is_request):
+                return self.close_with_error(reason)
+            self.last_input = True
+            self.clients.close_counts[reason] += 1
         self.send_reply(resp.error(reason))
 
     def send_reply(self, reply: bytes) -> None:
@@ -239,7 +247,7 @@
     def update_reading(self) -> None:
         """Pause reading while the client is behind, so that one client cannot fill the memory."""
         too_much_waits = self.input_ready and self.reader.unparsed_bytes() > MAX_WAITING_BYTES
-        pause = self.closing or self.write_paused or too_much_waits
+        pause = self.closing or self.last_input or self.write_paused or too_much_waits
         if pause != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
@@ -296,9 +304,12 @@
         self,
         loop: asyncio.AbstractEventLoop,
         on_request: Callable[[Sequence[object], PendingReply], None],
+        is_request: Callable[[resp.Message], bool],
         max_connections: int,
     ) -> None:
-        self.loop, self.on_request, self.max_connections = loop, on_request, max_connections
+        """``on_request`` handles a request or raises CommandError; ``is_request`` tells which it would do."""
+        self.loop, self.on_request, self.is_request = loop, on_request, is_request
+        self.max_connections = max_connections
         self.scheduler = InputScheduler(loop)
         self.connections: dict[Connection, None] = {}
         self.no_command = WaitQueue(2.0, "no command in time")  # for the first command
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -96,7 +96,12 @@
         self.client_ids_since_ns = 0
         max_connections = max(16, config.max_sockets - RESERVED_SOCKETS)
         connect_timeout_s = (settings.connect_timeout_ns or SECOND_NS) / SECOND_NS
-        self.clients = Clients(loop, self.handle_request, round(max_connections * CLIENT_CONNECTION_SHARE))
+        self.clients = Clients(
+            loop,
+            self.handle_request,
+            self.request_parser.accepts,
+            round(max_connections * CLIENT_CONNECTION_SHARE),
+        )
         max_server_connections = max_connections - self.clients.max_connections
         server_idle_timeout_s = config.server_idle_timeout_ns / SECOND_NS
         self.servers = Servers(
--- a/hookport/resp.py
+++ b/hookport/resp.py
@@ -4,7 +4,7 @@
 
 import math
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Literal
@@ -27,6 +27,7 @@
 UNITS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
 HEADER = re.compile(rb"([*$:+-])([^\r\n]{0,%d})\r\n" % MAX_LINE_BYTES).match
 LENGTH = re.compile(rb"[0-9]{1,9}|-1").fullmatch
+REQUEST_VERBS = (b"SVC.QUERY", b"SVC.SUBMIT")
 OK, PONG = b"+OK\r\n", b"+PONG\r\n"
 
 
@@ -70,6 +71,19 @@
     def unparsed_bytes(self) -> int:
         return len(self.buffer) - self.position
 
+    def any_waiting(self, condition: Callable[[Message], bool]) -> bool:
+        """Whether a complete message that was not returned yet meets a condition; none is consumed."""
+        buffer, position = self.buffer, self.position
+        try:
+            while (message := self.gets()) is not False:
+                if condition(message):
+                    return True
+        except StreamError:
+            pass
+        finally:
+            self.buffer, self.position = buffer, position
+        return False
+
     def gets(self) -> Message | Literal[False]:
         """Return the next message, or False if it is not complete yet. Raises StreamError."""
         if not self.has_unparsed_data() or (header := self.parse_header(self.position)) is None:
@@ -239,6 +253,18 @@
         # Most lists differ only in the wait, so caching the other fields saves most of the parsing work.
         self.cached_fields = lru_cache(FIELDS_CACHE_SIZE)(self.parse_fields)
 
+    def accepts(self, message: Message) -> bool:
+        """Whether a message is a request in a form that a server would accept."""
+        if not isinstance(message, list) or not message or not isinstance(message[0], bytes):
+            return False
+        try:
+            if message[0].upper() in REQUEST_VERBS:
+                self.parse(message)
+                return True
+        except CommandError:
+            pass
+        return False
+
     def parse(self, items: Sequence[object]) -> Command:
         texts = [item for item in items if isinstance(item, bytes)]
         submit = texts[0].upper() == b"SVC.SUBMIT"
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -99,6 +99,25 @@
     run(scenario)
 
 
+def test_valid_requests_behind_an_invalid_one_are_answered_before_the_connection_closes() -> None:
+    """They were read, so a client that gets no answer to them cannot know whether they were executed."""
+
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            invalid, noise = hiredis.pack_command(query(0, wait_ms=0)), b"noise\r\n"
+            valid = [hiredis.pack_command(submit(n)) for n in range(1, 6)]
+            client.writer.write(b"".join([invalid, *valid, invalid]))
+            replies = await replies_until_close(client)
+            assert replies[0].startswith("ERR d ") and replies[1:6] == ["b'value'"] * 5
+            assert len(replies) == 7 and replies[6].startswith("ERR d ")
+            client = await world.client()
+            client.writer.write(invalid + hiredis.pack_command(submit(9)) + noise)
+            assert len(await replies_until_close(client)) == 3
+
+    run(scenario)
+
+
 def test_pending_requests_fail_at_once_when_their_connection_is_closed_with_an_error() -> None:
     async def scenario() -> None:
         async with World(reply_when_released, reply_when_released) as world:
