Keep no account for a customer to whom nothing was charged

Need: a limiter that works faster through a flood of new customers also remembers more of them, each for up to two minutes, although nearly all of them were refused.

Change: after a request an account that is as good as a new one is dropped: nothing charged, no call to the counter, no attempt out, and no ceiling, whose slice starts empty. Peeks leave no account behind either.

test_no_account_is_kept_for_a_customer_to_whom_nothing_was_charged fails before.

--- a/aniseshed/account.py
+++ b/aniseshed/account.py
@@ -261,6 +261,13 @@
         if from_slice:
             self.bucket.reserve(-units)
 
+    def is_unused(self) -> bool:
+        """Whether the account is as good as a new one: nothing was charged to it or asked for it.
+
+        One with a ceiling never is, because the slice of a ceiling starts empty."""
+        in_use = self.charged or self.call_window or self.open_calls or self.open_attempts
+        return not in_use and math.isinf(self.ceiling.stored_permits)
+
     @property
     def max_total_decrease(self) -> float:
         """Units that others may take back between two totals; one that falls further is an older total."""
--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -179,6 +179,8 @@
             self.send_first_attempt(pending)
         else:
             self.admit(pending, account)
+        if account.is_unused():
+            del self.accounts[request.customer]  # its memory would be held for nothing
 
     def peek(self, pending: PendingRequest, refused: bool) -> None:
         """Answer whether a take would be granted, by this limiter's own estimate, without a counter call."""
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -200,6 +200,16 @@
     assert len(accounts) == 501 and accounts.visited <= 1
 
 
+def test_no_account_is_kept_for_a_customer_to_whom_nothing_was_charged() -> None:
+    """Otherwise a flood of new customers takes memory although all of it is refused."""
+    bench = Bench(replace(SETTINGS, has_counter=False))
+    bench.request(customer=0, mode=api.RequestMode.PEEK)
+    assert not bench.limiter.accounts
+    requests = [bench.request(customer=customer) for customer in range(1, 200)]
+    sent = [request_id for request_id in requests if bench.was_sent(request_id)]
+    assert 0 < len(sent) < len(requests) and len(bench.limiter.accounts) == len(sent)
+
+
 def test_settled_units_adjust_the_bucket() -> None:
     """The difference to the units charged at first must be charged when the usage is known."""
     bench = Bench(replace(SETTINGS, has_counter=False, settles_usage=True))
