Test that commands which an answer lets through are decided before the close

An answer written within an event let its connection handle further commands there and then; they were queued as events, failed by the error that closed the connection, and sent by the policy afterwards: `Node.send` raised KeyError, and the attempts stayed in `Limiter.in_flight` for ever.

Cause: `Connection.flush` handled commands within `Node.feed`. Since connections take turns it no longer does: a turn begins from the event loop only, and its events are processed before the next command is read.

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -6,7 +6,7 @@
 import hiredis
 import pytest
 import uvloop
-from world import Client, World, query, reply_when_released, serve, submit, until
+from world import Client, World, hold_submits, query, reply_when_released, serve, submit, until
 
 from hookport import clients, resp
 from hookport.arrival_times import ArrivalTimes
@@ -366,3 +366,26 @@
     times.forget()
     times.add(5, 4.0)
     assert times.last_byte_s(0) == 4.0 and len(times.chunks) == 1
+
+
+def test_commands_that_an_answer_lets_through_are_decided_before_their_connection_closes() -> None:
+    """Handled in the event of that answer, they are sent after the close and count as in flight forever."""
+
+    async def scenario() -> None:
+        async with World(hold_submits, perSecond=0.01, storeSize=4.0) as world:
+            client, node = await (await world.start()).client(), world.node
+            assert node
+            commands = [submit(0, wait_ms=100)]
+            commands += [
+                query(n, customer=9) for n in range(1, clients.MAX_PIPELINED)
+            ]  # mostly beyond the quota
+            commands += [
+                query(n, customer=n) for n in range(clients.MAX_PIPELINED, clients.MAX_PIPELINED + 30)
+            ]
+            client.writer.write(b"".join(map(hiredis.pack_command, commands)) + b"noise\r\n")
+            assert len(await replies_until_close(client)) == len(commands) + 1
+            assert not node.open_requests and not node.limiter.pending
+            await until(lambda: not node.attempts)
+            assert not node.limiter.in_flight and node.limiter.concurrency.current == 0
+
+    run(scenario)
