Move one client connection to a module of its own

Change: Connection, PendingReply and WaitQueue, and the constants that only they use, are in `hookport/client_connection.py`. No behaviour changes.

--- /dev/null
+++ b/hookport/client_connection.py
@@ -0,0 +1,285 @@
+"""One client connection: its commands, their replies in order, and what its client has to do next."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, cast
+
+from hookport import resp
+from hookport.arrival_times import ArrivalTimes
+from hookport.input_scheduler import COMMANDS_PER_TURN
+
+if TYPE_CHECKING:
+    from hookport.clients import Clients
+    from hookport.limits import Session
+
+log = logging.getLogger("hookport.clients")
+
+SECOND_NS = 1_000_000_000
+MAX_ARGUMENTS = 8  # the longest command, HELLO with all its options, has seven
+MAX_PIPELINED = 64  # unanswered commands of a connection; the next ones wait
+# A connection is not read while more bytes of commands wait.  Up to that it is, because only reading shows
+# that the client has closed its connection.
+MAX_WAITING_BYTES = 128 * 1024
+MAX_REJECTED = 16  # invalid commands on a connection that has also sent valid requests
+MAX_UNREAD_REPLY_BYTES = 1 << 20  # a client with more unread replies is disconnected
+
+
+class PendingReply:
+    """One command's reply, or a placeholder for it, in the reply queue of its connection."""
+
+    __slots__ = ("connection", "on_disconnect", "reply")
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+        self.reply: bytes | None = None
+        self.on_disconnect: Callable[[], None] | None = None  # called if the client disconnects first
+
+    def complete(self, reply: bytes) -> None:
+        """Set the reply; it is written once all earlier commands of the connection have theirs."""
+        self.reply, self.on_disconnect = reply, None
+        self.connection.flush()
+
+
+class WaitQueue:
+    """Connections that wait for the same event, in the order of arrival, and how long they may wait."""
+
+    __slots__ = ("entered_s", "timeout_s", "reason")
+
+    def __init__(self, timeout_s: float, reason: str) -> None:
+        self.timeout_s, self.reason = timeout_s, reason
+        self.entered_s: dict[Connection, float] = {}
+
+    def oldest(self, entered_by_s: float) -> Connection | None:
+        """The connection that has waited longest, if it entered the queue by that time."""
+        first = next(iter(self.entered_s), None)
+        return first if first and self.entered_s[first] <= entered_by_s else None
+
+
+class Connection(asyncio.Protocol):
+    """One client connection, which carries requests of many customers."""
+
+    __slots__ = (
+        "accepted_count", "arrival_times", "clients", "closing", "command_arrival_s", "command_count",
+        "handling_commands", "input_ready", "last_input", "pending_replies", "queue", "reader",
+        "reading_paused", "rejected_count", "session", "transport", "write_paused",
+    )  # fmt: skip
+
+    def __init__(self, clients: Clients) -> None:
+        self.clients = clients
+        self.reader = resp.Reader(MAX_ARGUMENTS)
+        self.arrival_times = ArrivalTimes()
+        self.command_arrival_s = 0.0  # of the command that is being handled
+        self.pending_replies: deque[PendingReply] = deque()
+        self.queue: WaitQueue | None = None  # the queue of what the client has to do next
+        self.session: Session | None = None  # set by the limit commands, if the options enable them
+        self.reading_paused = False
+        self.write_paused = False
+        self.handling_commands = False
+        self.input_ready = False  # If True, complete commands may wait to be handled.
+        self.last_input = False  # If True, no more is read; what was read is answered, then it closes.
+        self.closing = False  # If True, no further command is handled.
+        # Commands of any kind, valid requests, invalid commands.
+        self.command_count, self.accepted_count, self.rejected_count = 0, 0, 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.clients.add_connection(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closing = True
+        self.clients.remove_connection(self)
+        for pending in self.pending_replies:
+            if pending.on_disconnect:
+                pending.on_disconnect()
+        self.pending_replies.clear()
+
+    def data_received(self, data: bytes) -> None:
+        if self.closing:
+            return
+        self.reader.feed(data)
+        self.arrival_times.add(len(data), self.clients.loop.time())
+        self.input_ready = True
+        if self.clients.scheduler.is_idle():
+            self.handle_commands(COMMANDS_PER_TURN)
+        else:
+            self.proceed(False)
+
+    def handle_commands(self, max_commands: int) -> None:
+        """Handle up to ``max_commands`` complete commands; queue for another turn if more may be ready."""
+        count_before = self.command_count
+        self.handling_commands = True
+        try:
+            while self.may_handle_command() and self.command_count - count_before < max_commands:
+                self.handle_next_command()
+        except resp.StreamError as error:
+            self.close_with_error(str(error))
+        finally:
+            self.handling_commands = False
+        self.proceed(self.command_count > count_before)
+
+    def proceed(self, restart: bool) -> None:
+        """Do what comes next after commands were received, handled or answered: close, read on, or wait.
+
+        ``restart`` tells whether the client did something, which restarts its time-out."""
+        ending = self.clients.draining or self.last_input
+        if self.closing or (ending and self.is_finished()):
+            return self.close_when_answered()
+        if self.may_handle_command():
+            self.clients.scheduler.add(self)
+        self.update_reading()
+        self.update_queue(restart)
+
+    def is_finished(self) -> bool:
+        """Whether all commands that were received completely are answered."""
+        return not self.pending_replies and not self.input_ready
+
+    def may_handle_command(self) -> bool:
+        """Whether the next command may be handled, if it is complete."""
+        return (
+            self.input_ready
+            and not self.closing
+            and not self.write_paused
+            and len(self.pending_replies) < MAX_PIPELINED
+        )
+
+    def handle_next_command(self) -> None:
+        """Handle the next command, or find that it is not complete."""
+        if (message := self.reader.gets()) is False:
+            self.input_ready = False
+            self.arrival_times.forget()
+            return
+        self.command_arrival_s = self.arrival_times.last_byte_s(self.reader.unparsed_bytes())
+        self.input_ready = self.reader.has_unparsed_data()
+        self.command_count += 1
+        self.handle_command(message)
+
+    def close_with_error(self, reason: str) -> None:
+        """Send an error and close the connection of a client that violates the protocol or is too slow.
+
+        The requests that are still unanswered on the connection fail at once."""
+        self.clients.close_counts[reason] += 1
+        unanswered, self.closing = list(self.pending_replies), True
+        self.send_reply(resp.error(reason))
+        for pending in unanswered:
+            if on_disconnect := pending.on_disconnect:
+                pending.complete(resp.error("failed: the connection is closed"))
+                on_disconnect()
+        self.close_when_answered()
+
+    def command_age_ns(self) -> int:
+        """How long ago the command that is being handled arrived."""
+        return round((self.clients.loop.time() - self.command_arrival_s) * SECOND_NS)
+
+    def handle_command(self, message: resp.Message) -> None:
+        if not isinstance(message, list) or not message or not isinstance(message[0], bytes):
+            return self.reject_command("a command is an array of bulk strings")
+        verb = message[0].upper()
+        if verb in resp.REQUEST_VERBS:
+            pending = PendingReply(self)
+            self.pending_replies.append(pending)
+            try:
+                self.clients.on_request(message, pending)
+                self.accepted_count += 1
+            except resp.CommandError as error:
+                self.pending_replies.remove(pending)
+                self.reject_command(str(error))
+        elif (limit_commands := self.clients.limit_commands) and limit_commands.handle_command(
+            self, verb, message
+        ):
+            pass
+        elif verb == b"PING":
+            self.send_reply(resp.PONG if len(message) == 1 else resp.error("wrong number of arguments"))
+        elif verb in (b"CLIENT", b"SELECT"):
+            self.send_reply(resp.OK)
+        else:
+            self.send_reply(resp.error("unknown command"))
+
+    def reject_command(self, reason: str) -> None:
+        """Reply with an error; close the connection if it brought no valid request or too many invalid ones.
+
+        Otherwise a client that sends nothing but invalid commands keeps a descriptor and the CPU busy. Valid
+        requests that were read with an invalid command are answered first."""
+        self.rejected_count += 1
+        if not self.last_input and (not self.accepted_count or self.rejected_count > MAX_REJECTED):
+            if not self.reader.any_waiting(self.clients.is_request):
+                return self.close_with_error(reason)
+            self.last_input = True
+            self.clients.close_counts[reason] += 1
+        self.send_reply(resp.error(reason))
+
+    def send_reply(self, reply: bytes) -> None:
+        """Queue a reply behind those of the earlier commands."""
+        pending = PendingReply(self)
+        self.pending_replies.append(pending)
+        pending.complete(reply)
+
+    def flush(self) -> None:
+        """Write the replies that no unanswered command precedes."""
+        pending_replies, ready = self.pending_replies, []
+        while pending_replies and (reply := pending_replies[0].reply) is not None:
+            pending_replies.popleft()
+            ready.append(reply)
+        if not ready or self.transport.is_closing():
+            return
+        self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
+        if self.write_paused and self.transport.get_write_buffer_size() > MAX_UNREAD_REPLY_BYTES:
+            log.warning("closing the connection of a client that does not read its replies")
+            return self.transport.abort()
+        if not self.handling_commands:
+            self.proceed(False)
+
+    def update_reading(self) -> None:
+        """Pause reading while the client is behind, so that one client cannot fill the memory."""
+        too_much_waits = self.input_ready and self.reader.unparsed_bytes() > MAX_WAITING_BYTES
+        pause = self.closing or self.last_input or self.write_paused or too_much_waits
+        if pause != self.reading_paused and not self.transport.is_closing():
+            self.reading_paused = pause
+            (self.transport.pause_reading if pause else self.transport.resume_reading)()
+
+    def pause_writing(self) -> None:
+        self.write_paused = True
+        self.update_reading()
+        self.update_queue(True)
+
+    def resume_writing(self) -> None:
+        self.write_paused = False
+        self.proceed(True)
+
+    def update_queue(self, restart: bool) -> None:
+        """Enter the queue of what the client has to do next; ``restart`` its time-out if it did something."""
+        clients, queue = self.clients, None
+        if self.write_paused or self.closing:
+            queue = clients.unread_replies
+        elif self.input_ready:
+            queue = None  # the daemon has to do something next, not the client
+        elif not self.command_count:
+            queue = clients.no_command
+        elif self.reader.has_unparsed_data():
+            queue = clients.partial_command
+        elif not self.pending_replies:
+            queue = clients.idle if self.accepted_count else clients.no_request
+        if queue is not self.queue or restart:
+            self.leave_queue()
+            if queue:
+                queue.entered_s[self] = clients.loop.time()
+            self.queue = queue
+            if queue is clients.idle:
+                clients.evict_idle()
+
+    def leave_queue(self) -> None:
+        if self.queue:
+            self.queue.entered_s.pop(self, None)
+            self.queue = None
+
+    def close_when_answered(self) -> None:
+        """Read no more commands; close once all replies are written."""
+        self.closing = True
+        if not self.pending_replies:
+            self.transport.close()
+        else:
+            self.update_reading()
+        self.update_queue(False)
--- a/hookport/limits/commands.py
+++ b/hookport/limits/commands.py
@@ -21,7 +21,7 @@
 
 from aniseshed import interface as api
 from hookport import resp
-from hookport.clients import Connection, PendingReply
+from hookport.client_connection import Connection, PendingReply
 from hookport.limits.ledger import Key, Ledger, TakeRecord
 from hookport.limits.session import NOAUTH, Session
 from hookport.limits.users import Users
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -12,7 +12,8 @@
 from aniseshed import interface as api
 from aniseshed.policy import Limiter
 from hookport import resp
-from hookport.clients import Clients, PendingReply
+from hookport.client_connection import PendingReply
+from hookport.clients import Clients
 from hookport.config import Address, Config
 from hookport.counter import Call, Counter
 from hookport.discovery import Discovery
--- a/hookport/rehearsal/mutants.py
+++ b/hookport/rehearsal/mutants.py
@@ -18,7 +18,7 @@
 from aniseshed import policy
 from aniseshed.partition import SECOND_NS
 from hookport import __main__ as daemon
-from hookport import clients, node, resp, servers
+from hookport import client_connection, node, resp, servers
 
 REQUESTS_PER_FAULT = 25  # Mutants with occasional faults affect one request in this many on average.
 LEAKED_BYTES_PER_REQUEST = 200_000
@@ -92,7 +92,7 @@
 
         return complete
 
-    patch(clients.PendingReply, "complete", make)
+    patch(client_connection.PendingReply, "complete", make)
 
 
 def ignores_drains() -> None:
@@ -221,7 +221,7 @@
 
         return complete
 
-    patch(clients.PendingReply, "complete", make)
+    patch(client_connection.PendingReply, "complete", make)
 
 
 def answers_late() -> None:
@@ -284,7 +284,7 @@
 
 def ignores_bad_clients() -> None:
     """Neither answers nor closes the connections of clients that send malformed requests."""
-    patch(clients.Connection, "close_with_error", lambda old: lambda self, why: None)
+    patch(client_connection.Connection, "close_with_error", lambda old: lambda self, why: None)
 
 
 def crashes() -> None:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -8,7 +8,7 @@
 import uvloop
 from world import Client, World, hold_submits, query, reply_when_released, serve, submit, until
 
-from hookport import clients, resp
+from hookport import client_connection, clients, resp
 from hookport.arrival_times import ArrivalTimes
 
 
@@ -249,7 +249,7 @@
             assert node
             on_request = node.clients.on_request
 
-            def count(arguments: object, answer: clients.PendingReply) -> None:
+            def count(arguments: object, answer: client_connection.PendingReply) -> None:
                 nonlocal most_pending
                 most_pending = max(most_pending, len(answer.connection.pending_replies))
                 on_request(arguments, answer)  # type: ignore[arg-type]
@@ -259,7 +259,7 @@
                 client.send(*query(n, customer=n))
             replies = [await client.answer() for _ in range(300)]
             assert {str(reply) for reply in replies} <= {"b'value'", "BUSY 1000"} and replies[0] == b"value"
-            assert 1 < most_pending <= clients.MAX_PIPELINED
+            assert 1 < most_pending <= client_connection.MAX_PIPELINED
 
     run(scenario)
 
@@ -314,7 +314,7 @@
             handled: list[object] = []
             flood_arrived = asyncio.Event()
 
-            def refuse(arguments: Sequence[object], reply: clients.PendingReply) -> None:
+            def refuse(arguments: Sequence[object], reply: client_connection.PendingReply) -> None:
                 handled.append(arguments)
                 flood_arrived.set()
                 reply.complete(resp.busy(0))
@@ -341,17 +341,17 @@
             handled: list[object] = []
             on_request = node.clients.on_request
 
-            def count(arguments: Sequence[object], reply: clients.PendingReply) -> None:
+            def count(arguments: Sequence[object], reply: client_connection.PendingReply) -> None:
                 handled.append(arguments)
                 on_request(arguments, reply)
 
             node.clients.on_request = count
-            for n in range(clients.MAX_PIPELINED + 20):
+            for n in range(client_connection.MAX_PIPELINED + 20):
                 client.send(*query(n, customer=n))
-            await until(lambda: len(handled) == clients.MAX_PIPELINED)
+            await until(lambda: len(handled) == client_connection.MAX_PIPELINED)
             client.writer.close()
             await until(lambda: not node.clients.connections)
-            assert len(handled) == clients.MAX_PIPELINED
+            assert len(handled) == client_connection.MAX_PIPELINED
             assert not node.open_requests and not node.limiter.pending
             assert not node.clients.scheduler.ready
 
@@ -377,10 +377,11 @@
             assert node
             commands = [submit(0, wait_ms=100)]
             commands += [
-                query(n, customer=9) for n in range(1, clients.MAX_PIPELINED)
+                query(n, customer=9) for n in range(1, client_connection.MAX_PIPELINED)
             ]  # mostly beyond the quota
             commands += [
-                query(n, customer=n) for n in range(clients.MAX_PIPELINED, clients.MAX_PIPELINED + 30)
+                query(n, customer=n)
+                for n in range(client_connection.MAX_PIPELINED, client_connection.MAX_PIPELINED + 30)
             ]
             client.writer.write(b"".join(map(hiredis.pack_command, commands)) + b"noise\r\n")
             assert len(await replies_until_close(client)) == len(commands) + 1
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -24,7 +24,7 @@
 )  # fmt: skip
 
 from aniseshed.interface import AttemptEnded, Outcome
-from hookport import clients, counter, discovery, node, servers
+from hookport import client_connection, counter, discovery, node, servers
 from hookport.servers import Attempt, ServerConnection
 
 
@@ -580,7 +580,7 @@
     run(scenario)
 
 
-def connection_of(world: World) -> clients.Connection:
+def connection_of(world: World) -> client_connection.Connection:
     assert world.node
     (connection,) = world.node.clients.connections
     return connection
@@ -615,14 +615,14 @@
     run(scenario)
 
 
-def only_the_first_is_unanswered(connection: clients.Connection) -> bool:
+def only_the_first_is_unanswered(connection: client_connection.Connection) -> bool:
     unanswered = [pending.reply is None for pending in connection.pending_replies]
-    return unanswered == [True] + [False] * (clients.MAX_PIPELINED - 1)
+    return unanswered == [True] + [False] * (client_connection.MAX_PIPELINED - 1)
 
 
 def test_commands_beyond_the_pipeline_limit_are_answered_while_the_daemon_drains() -> None:
     """At SIGTERM a connection must not be closed while commands that were read wait for earlier replies."""
-    command_count = clients.MAX_PIPELINED + 20
+    command_count = client_connection.MAX_PIPELINED + 20
 
     async def scenario() -> None:
         async with World(hold_submits) as world:
@@ -646,7 +646,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Sent to a server at that time, they would get no answer before the process is killed."""
-    command_count = clients.MAX_PIPELINED + 20
+    command_count = client_connection.MAX_PIPELINED + 20
 
     async def scenario() -> None:
         monkeypatch.setattr(node, "KILL_AFTER_NS", 0)
@@ -654,12 +654,14 @@
             client = await (await world.start()).client()
             for n in range(command_count):
                 client.send(*query(n, customer=n))
-            await until(lambda: len(connection_of(world).pending_replies) == clients.MAX_PIPELINED)
+            await until(lambda: len(connection_of(world).pending_replies) == client_connection.MAX_PIPELINED)
             assert world.node
             world.node.shut_down()
             replies = [str(await client.answer()) for _ in range(command_count)]
-            assert replies[clients.MAX_PIPELINED :] == ["BUSY 1000"] * 20
-            assert all(int(arguments[2], 16) < clients.MAX_PIPELINED for arguments in commands_sent(world))
+            assert replies[client_connection.MAX_PIPELINED :] == ["BUSY 1000"] * 20
+            assert all(
+                int(arguments[2], 16) < client_connection.MAX_PIPELINED for arguments in commands_sent(world)
+            )
             await until(lambda: world.node and world.node.clients.done.is_set())
 
     run(scenario)
@@ -672,11 +674,13 @@
         async with World(hold_submits) as world:
             client = await (await world.start()).client()
             client.send(*submit(0, wait_ms=500))
-            for n in range(1, clients.MAX_PIPELINED + 20):
+            for n in range(1, client_connection.MAX_PIPELINED + 20):
                 client.send(*query(n, wait_ms=100, customer=n))
-            replies = [str(await client.answer()) for _ in range(clients.MAX_PIPELINED + 20)]
-            assert replies[0] == "ERR failed" and set(replies[clients.MAX_PIPELINED :]) == {"BUSY 1000"}
+            replies = [str(await client.answer()) for _ in range(client_connection.MAX_PIPELINED + 20)]
+            assert replies[0] == "ERR failed" and set(replies[client_connection.MAX_PIPELINED :]) == {
+                "BUSY 1000"
+            }
             sent = {int(arguments[2], 16) for arguments in commands_sent(world)}
-            assert max(sent) < clients.MAX_PIPELINED
+            assert max(sent) < client_connection.MAX_PIPELINED
 
     run(scenario)
