Keep one arrival time for all chunks of a tick

Seen on reading the change once more: a client that sends single bytes behind 64 unanswered commands made `ArrivalTimes` keep a record for each of them, up to 128 Ki of some 100 bytes on one connection.

Change: chunks that arrive in one tick of the loop's clock, a millisecond, share a record. test_arrival_of_a_command_is_that_of_its_last_byte fails before (5 records for 5 bytes of one tick).

--- a/hookport/arrival_times.py
+++ b/hookport/arrival_times.py
@@ -15,8 +15,10 @@
         self.chunks: deque[tuple[int, float]] = deque()  # bytes received with the chunk, and when
 
     def add(self, size_bytes: int, now_s: float) -> None:
-        """Record the arrival of a chunk."""
+        """Record the arrival of a chunk; those of one tick of the clock count as one."""
         self.received_bytes += size_bytes
+        if self.chunks and self.chunks[-1][1] == now_s:
+            self.chunks.pop()
         self.chunks.append((self.received_bytes, now_s))
 
     def last_byte_s(self, unparsed_bytes: int) -> float:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -364,8 +364,10 @@
         times.add(size_bytes, now_s)
     assert [times.last_byte_s(unparsed) for unparsed in (25, 20, 19, 10, 9, 0)] == [1, 1, 2, 2, 3, 3]
     times.forget()
-    times.add(5, 4.0)
-    assert times.last_byte_s(0) == 4.0 and len(times.chunks) == 1
+    for _ in range(5):
+        times.add(1, 4.0)
+    assert len(times.chunks) == 1  # one record for each tick of the clock, not for each chunk
+    assert times.last_byte_s(0) == 4.0
 
 
 def test_commands_that_an_answer_lets_through_are_decided_before_their_connection_closes() -> None:
