--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -22,7 +22,7 @@
 IDLE_TIMEOUT_SHARE = 0.5
 # After an answer, before the connection is reused: a server may send a second answer some milliseconds late,
 # and nothing in it tells to which request it belongs.
-REUSE_DELAY_S = 0.05
+REUSE_DELAY_S = 0.02
 STALL_TIMEOUT_S = 0.25  # the longest pause within an answer
 ANSWER_ELEMENTS = 3  # the value, usage figures, and a load report
 POLLER = select.poll()  # shared: there is one thread, and one socket is registered at a time
--- a/tests/test_bad_servers.py
+++ b/tests/test_bad_servers.py
@@ -85,7 +85,7 @@
             pool = world.node.servers
             await until(lambda: pool.idle.get(b"s-0"))
             (connection,) = pool.idle[b"s-0"]
-            connection.idle_since_s = pool.loop.time() - 0.02
+            connection.idle_since_s = pool.loop.time() - 0.012
             assert pool.take_idle(b"s-0") is None
             connection.idle_since_s = pool.loop.time() - 0.2
             assert pool.take_idle(b"s-0") is connection
