--- a/tests/test_bad_servers.py
+++ b/tests/test_bad_servers.py
@@ -74,16 +74,21 @@
     run(scenario)
 
 
+async def pool_with_idle_connection(world: World) -> servers.Servers:
+    client = await (await world.start()).client()
+    assert await client.ask(*submit()) == b"value"
+    assert world.node
+    pool = world.node.servers
+    await until(lambda: pool.idle.get(b"s-0"))
+    return pool
+
+
 def test_connection_is_not_reused_while_a_second_answer_may_come_late() -> None:
     """A second answer comes some milliseconds late; on a reused connection the next customer would get it."""
 
     async def scenario() -> None:
         async with World(serve) as world:
-            client = await (await world.start()).client()
-            assert await client.ask(*submit()) == b"value"
-            assert world.node
-            pool = world.node.servers
-            await until(lambda: pool.idle.get(b"s-0"))
+            pool = await pool_with_idle_connection(world)
             (connection,) = pool.idle[b"s-0"]
             connection.idle_since_s = pool.loop.time() - 0.012
             assert pool.take_idle(b"s-0") is None
@@ -97,11 +102,7 @@
     async def scenario() -> None:
         monkeypatch.setattr(servers, "REUSE_DELAY_S", -1.0)
         async with World(serve) as world:
-            client = await (await world.start()).client()
-            assert await client.ask(*submit()) == b"value"
-            assert world.node
-            pool = world.node.servers
-            await until(lambda: pool.idle.get(b"s-0"))
+            pool = await pool_with_idle_connection(world)
             # written directly to the socket, so that the limiter's loop has not read it yet
             os.write(world.stubs[0].writers[0].get_extra_info("socket").fileno(), VALUE)
             assert pool.take_idle(b"s-0") is None
