--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,11 @@
-"""A keyed claim is sent again after the servers have forgotten it, because its connection came up late."""
+"""Bad clients that send much at once and go make a limiter hang, and sound clients get no answer."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
+import socket
 import sys
 from pathlib import Path
 
@@ -11,89 +14,116 @@
 
 import rig  # noqa: E402
 
-WINDOW_S = 1.0  # dedupWindow of the claims: a shorter window for repeats
-SLACK_S = 0.05 + 0.15  # each time limit is 50 ms longer; windows allow for a limiter that is held up
-LONG_CLAIM_S = 0.9  # work of the claims in question
-QUIET_S = 21.0  # long enough for the limiters to close their idle connections (half of connIdle and a sweep)
+BAD_CLIENTS = 300
+COMMANDS = 6000  # of each bad client: 19 bytes each, 114 KB in all
+PER_SECOND = 67.0  # requests of sound clients to all three limiters
+GIVE_UP_MS = {"search": 3000, "claim": 4000}
+LATE_S = 0.5 + 0.05  # "up to half a second after its time it only earns nothing", and the 50 ms of sockets
+OWN_LAG_S = 0.25  # if the stand-ins themselves are held up for longer, the run means nothing
 
 
-def keyed_claims(settings: dict) -> None:
-    """Claims are keyed here; all servers drop repeats for WINDOW_S.  Connections may take 1.5 s."""
-    claim = settings["lanes"][1]
-    claim["idempotency"], claim["group"], claim["dedupWindow"] = "token", "all", int(WINDOW_S * 1e9)
-    settings["bounds"]["connectTimeout"] = 1_500_000_000
+def send_much_and_go(port: int) -> int:
+    """Each bad client sends requests that lack all arguments, and closes its connection."""
+    data = rig.encode("SVC.QUERY") * COMMANDS
+    socks = []
+    for _ in range(BAD_CLIENTS):
+        with contextlib.suppress(OSError):
+            sock = socket.create_connection(("127.0.0.1", port), timeout=1.0)
+            socks.append(sock)
+    for sock in socks:
+        with contextlib.suppress(OSError):
+            sock.sendall(data)
+    for sock in socks:
+        sock.close()
+    return len(socks)
+
+
+class SoundClients:
+    """Clients that send one request at a time on a connection and wait for its time and a little more."""
+
+    def __init__(self, record: rig.Record, platform: rig.Platform) -> None:
+        self.record, self.clients = record, rig.Clients(record, platform)
+        self.random = random.Random(20)
+        self.answered, self.lost = [0, 0, 0], [list[str](), list[str](), list[str]()]
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def one(self, number: int) -> None:
+        limiter, kind = number % 3, "search" if number % 9 < 5 else "claim"
+        # A try is given up after 50 to 100% of the class's give-up time.
+        wait_ms = round(GIVE_UP_MS[kind] * self.random.uniform(0.5, 1.0))
+        id = f"{kind}-{number:05d}"
+        sent_s = self.record.now()
+        self.record.line(f"client sends {id} to n{limiter}, d={wait_ms}")
+        command = rig.request(kind, 5000 + number % 200, id, "standard", wait_ms)
+        answer = await self.clients.ask(limiter, command, id, wait_ms, LATE_S)
+        took_s = self.record.now() - sent_s
+        if answer is None:
+            self.lost[limiter].append(id)
+            self.record.line(f"broken: {id} got no answer from n{limiter} in {took_s:.2f} s, d={wait_ms}")
+        else:
+            self.answered[limiter] += 1
+            self.record.line(f"client got for {id} after {took_s:.3f} s: {rig.describe(answer)}")
+
+    async def run(self, for_s: float) -> None:
+        for number in range(round(PER_SECOND * for_s)):
+            self.tasks.append(asyncio.create_task(self.one(number)))
+            await asyncio.sleep(1 / PER_SECOND)
+        await asyncio.gather(*self.tasks)
+
+
+class Watcher:
+    """How long a limiter takes to answer PING, and how late the stand-ins' own timers are."""
+
+    def __init__(self, record: rig.Record, port: int) -> None:
+        self.record, self.port = record, port
+        self.longest_s = self.own_lag_s = 0.0
+
+    async def ping(self) -> None:
+        while True:
+            sent_s = self.record.now()
+            with contextlib.suppress(OSError, EOFError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(rig.encode("PING"))
+                await reader.readuntil(b"\r\n")
+                writer.close()
+            self.longest_s = max(self.longest_s, self.record.now() - sent_s)
+            await asyncio.sleep(0.2)
+
+    async def measure_lag(self) -> None:
+        while True:
+            due_s = self.record.now() + 0.02
+            await asyncio.sleep(0.02)
+            self.own_lag_s = max(self.own_lag_s, self.record.now() - due_s)
 
 
 async def case(record: rig.Record) -> int:
-    servers, agent, counter = await rig.start_fleet(record)
+    servers, agent, counter = await rig.start_fleet(record, work_ms=90)
     platform = rig.Platform(record)
-    platform.change_settings = keyed_claims
     try:
         await platform.start_all(agent, counter)
-        clients = rig.Clients(record, platform)
-        traffic = asyncio.create_task(clients.traffic(67, [0, 1, 2]))
+        watcher, sound = Watcher(record, platform.ports[0]), SoundClients(record, platform)
+        watchers = [asyncio.create_task(watcher.ping()), asyncio.create_task(watcher.measure_lag())]
+        traffic = asyncio.create_task(sound.run(16.0))
         await asyncio.sleep(3.0)
-        traffic.cancel()
-        prompt = sum(server.accepted for server in servers)
-        record.line(f"quiet time begins; {prompt} connections to servers have come up promptly")
-        if prompt < 3 * 3:
-            raise rig.CannotRun("too few connections came up: three late ones would be more than a third")
-        await asyncio.sleep(QUIET_S)
-
-        # Each limiter gets one claim with much work.  Its first server runs it and then answers an error.
-        first: dict[str, rig.Receipt] = {}
-        ran: dict[str, list[rig.Receipt]] = {}
-
-        async def answer_claim(receipt: rig.Receipt) -> bytes | None:
-            if not receipt.id.startswith("claim-"):
-                return None
-            if receipt.id not in first:
-                first[receipt.id] = receipt
-                ran[receipt.id] = [receipt]
-                await asyncio.sleep(max(0.0, receipt.at_s + LONG_CLAIM_S - record.now()))
-                return b"-ERR failed\r\n"
-            if receipt.at_s - first[receipt.id].at_s < WINDOW_S:
-                record.line(f"the group of servers still knows {receipt.id}: not run again")
-            else:
-                record.line(f"the group of servers has forgotten {receipt.id}: it has run twice")
-                ran[receipt.id].append(receipt)
-            return None
-
-        for server in servers:
-            server.on_request = answer_claim
-        tasks = []
-        for limiter in range(3):
-            id = f"claim-{limiter}"
-            command = rig.request("claim", 70 + limiter, id, "standard", 3900)
-            record.line(f"client sends claim {id} to n{limiter}")
-            tasks.append(asyncio.create_task(clients.ask(limiter, command, id, 3900)))
-        while len(first) < 3:
-            await asyncio.sleep(0.005)
         if rig.TROUBLE:
-            for server in servers:
-                server.spawn(server.connections_come_late(LONG_CLAIM_S + 0.4))
-        for limiter, answer in enumerate(await asyncio.gather(*tasks)):
-            record.line(f"client got for claim-{limiter}: {rig.describe(answer) if answer else 'no answer'}")
-
-        prompt_ids = [
-            other.id
-            for server in servers
-            for other in server.received
-            if other.id in first and LONG_CLAIM_S <= other.at_s - first[other.id].at_s < LONG_CLAIM_S + 0.3
-        ]
-        if rig.TROUBLE and prompt_ids:
-            raise rig.CannotRun(f"connections do not come up late on this system: {prompt_ids}")
-        broken = 0
-        for id, receipt in sorted(first.items()):
-            sends = [other for server in servers for other in server.received if other.id == id]
-            for other in sends:
-                after_s = other.at_s - receipt.at_s
-                if after_s > WINDOW_S + SLACK_S:
-                    broken += 1
-                    record.line(f"broken: {id} was sent to {other.server} {after_s:.3f} s after {receipt.server} "
-                                f"got it; the window is {WINDOW_S} s, and it ran {len(ran[id])} times")  # fmt: skip
-        record.line(f"{broken} of 3 claims were sent again after the window")
-        return rig.BROKEN if broken else rig.HELD
+            record.line(f"{BAD_CLIENTS} bad clients send {COMMANDS} commands each to n0, and go")
+            connected = await asyncio.to_thread(send_much_and_go, platform.ports[0])
+            record.line(f"{connected} bad clients have sent all and have gone")
+        await traffic
+        for task in watchers:
+            task.cancel()
+        record.line(f"n0 took {watcher.longest_s:.2f} s at most to answer PING; the stand-ins were "
+                    f"{watcher.own_lag_s:.3f} s late at most")  # fmt: skip
+        for limiter in range(3):
+            record.line(f"n{limiter}: {sound.answered[limiter]} requests of sound clients answered, "
+                        f"{len(sound.lost[limiter])} lost")  # fmt: skip
+        if watcher.own_lag_s > OWN_LAG_S:
+            raise rig.CannotRun(f"the stand-ins were held up for {watcher.own_lag_s:.2f} s")
+        if sound.lost[1] or sound.lost[2]:
+            raise rig.CannotRun(
+                "requests were lost at limiters that met no bad client: the machine is too busy"
+            )
+        return rig.BROKEN if sound.lost[0] else rig.HELD
     finally:
         platform.close()
 
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -563,8 +563,8 @@
         self.count = 0
         self.results: dict[str, int] = {}
 
-    async def ask(self, limiter: int, command: bytes, id: str, wait_ms: int) -> Any:
-        """Send one request; the answer, or None if there is none within its time and half a second."""
+    async def ask(self, limiter: int, command: bytes, id: str, wait_ms: int, late_s: float = 0.5) -> Any:
+        """Send one request; the answer, or None if there is none within its time and ``late_s``."""
         idle = self.idle.setdefault(limiter, [])
         for _ in range(2):  # a kept connection may have been closed: then once more on a new one
             kept = bool(idle)
@@ -578,7 +578,7 @@
                 self.record.line(f"client cannot connect for {id}")
                 return None
             try:
-                async with asyncio.timeout(wait_ms / 1000 + 0.5):
+                async with asyncio.timeout(wait_ms / 1000 + late_s):
                     writer.write(command)
                     answer = await read_message(reader)
                 idle.append((reader, writer))
