--- a/hookport/client_connection.py
+++ b/hookport/client_connection.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from hookport.clients import Clients
     from hookport.limits import Session
+    from hookport.wait_queue import WaitQueue
 
 log = logging.getLogger("hookport.clients")
 
@@ -44,21 +45,6 @@
         self.connection.flush()
 
 
-class WaitQueue:
-    """Connections that wait for the same event, in the order of arrival, and how long they may wait."""
-
-    __slots__ = ("entered_s", "timeout_s", "reason")
-
-    def __init__(self, timeout_s: float, reason: str) -> None:
-        self.timeout_s, self.reason = timeout_s, reason
-        self.entered_s: dict[Connection, float] = {}
-
-    def oldest(self, entered_by_s: float) -> Connection | None:
-        """The connection that has waited longest, if it entered the queue by that time."""
-        first = next(iter(self.entered_s), None)
-        return first if first and self.entered_s[first] <= entered_by_s else None
-
-
 class Connection(asyncio.Protocol):
     """One client connection, which carries requests of many customers."""
 
--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -10,9 +10,10 @@
 from typing import TYPE_CHECKING, cast
 
 from hookport import resp
-from hookport.client_connection import Connection, PendingReply, WaitQueue
+from hookport.client_connection import Connection, PendingReply
 from hookport.config import Address
 from hookport.input_scheduler import InputScheduler
+from hookport.wait_queue import WaitQueue
 
 if TYPE_CHECKING:
     from hookport.limits import LimitCommands
