Handle what was read behind an invalid command in turns, not at once

Cause: the first unusable command of a connection made Reader.any_waiting parse everything that had been read behind it, in the callback of that read, for each readable connection: 6,000 commands and 40 ms each.

Change: nothing is looked at ahead of its turn. The connection is read no more, and what was read is handled in the ordinary turns; errors after the first are withheld until a valid request follows. Kin: connections that become readable together got a turn each in the same iteration (400 commands in the test); eight get one at once now, the others queue.

--- a/hookport/client_connection.py
+++ b/hookport/client_connection.py
@@ -51,7 +51,7 @@
     __slots__ = (
         "accepted_count", "arrival_times", "clients", "closing", "command_arrival_s", "command_count",
         "handling_commands", "input_ready", "last_input", "pending_replies", "queue", "reader",
-        "reading_paused", "rejected_count", "session", "transport", "write_paused",
+        "reading_paused", "rejected_count", "session", "transport", "withheld_errors", "write_paused",
     )  # fmt: skip
 
     def __init__(self, clients: Clients) -> None:
@@ -70,6 +70,7 @@
         self.closing = False  # If True, no further command is handled.
         # Commands of any kind, valid requests, invalid commands.
         self.command_count, self.accepted_count, self.rejected_count = 0, 0, 0
+        self.withheld_errors: list[bytes] = []  # replies that are sent only if a valid request follows
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -89,7 +90,7 @@
         self.reader.feed(data)
         self.arrival_times.add(len(data), self.clients.loop.time())
         self.input_ready = True
-        if self.clients.scheduler.is_idle():
+        if self.clients.scheduler.take_immediate_turn():
             self.handle_commands(COMMANDS_PER_TURN)
         else:
             self.proceed(False)
@@ -165,6 +166,8 @@
             return self.reject_command("a command is an array of bulk strings")
         verb = message[0].upper()
         if verb in resp.REQUEST_VERBS:
+            if self.withheld_errors and self.clients.is_request(message):
+                self.send_withheld_errors()
             pending = PendingReply(self)
             self.pending_replies.append(pending)
             try:
@@ -185,17 +188,25 @@
             self.send_reply(resp.error("unknown command"))
 
     def reject_command(self, reason: str) -> None:
-        """Reply with an error; close the connection if it brought no valid request or too many invalid ones.
+        """Reply with an error; read no more if the client sent no valid request or too many invalid ones.
 
-        Otherwise a client that sends nothing but invalid commands keeps a descriptor and the CPU busy. Valid
-        requests that were read with an invalid command are answered first."""
+        Otherwise a client that sends nothing but invalid commands keeps a descriptor and the CPU busy. What
+        was read by then is handled in the connection's turns, and valid requests among it are answered. If
+        there are none, the client gets one error."""
         self.rejected_count += 1
         if not self.last_input and (not self.accepted_count or self.rejected_count > MAX_REJECTED):
-            if not self.reader.any_waiting(self.clients.is_request):
-                return self.close_with_error(reason)
             self.last_input = True
             self.clients.close_counts[reason] += 1
-        self.send_reply(resp.error(reason))
+        if self.accepted_count or self.rejected_count == 1:
+            self.send_reply(resp.error(reason))
+        else:
+            self.withheld_errors.append(resp.error(reason))
+
+    def send_withheld_errors(self) -> None:
+        """Reply to the invalid commands before a valid request, so that its answer follows theirs."""
+        errors, self.withheld_errors = self.withheld_errors, []
+        for error in errors:
+            self.send_reply(error)
 
     def send_reply(self, reply: bytes) -> None:
         """Queue a reply behind those of the earlier commands."""
--- a/hookport/input_scheduler.py
+++ b/hookport/input_scheduler.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 COMMANDS_PER_TURN = 4
-TURNS_PER_LOOP_ITERATION = 8
+TURNS_PER_LOOP_ITERATION = 8  # of the queue, and as many of connections that have just received data
 
 
 class CommandSource(Protocol):
@@ -30,10 +30,18 @@
         # An ordered set.  Finding the first key of a plain dict skips every deleted entry before it.
         self.ready: OrderedDict[CommandSource, None] = OrderedDict()
         self.next_run: asyncio.Handle | None = None
+        self.immediate_turns, self.immediate_turns_s = 0, 0.0  # turns without queueing, and their loop time
 
-    def is_idle(self) -> bool:
-        """Whether no connection is waiting, so that one with new data may have its turn at once."""
-        return not self.ready
+    def take_immediate_turn(self) -> bool:
+        """Whether a connection with new data may have its turn at once, as no other is waiting.
+
+        The loop reads all sockets that are ready before it runs anything else, so the number of these turns
+        is limited for each loop time, which changes with the iterations."""
+        now_s = self.loop.time()
+        if now_s != self.immediate_turns_s:
+            self.immediate_turns, self.immediate_turns_s = 0, now_s
+        self.immediate_turns += 1
+        return not self.ready and self.immediate_turns <= TURNS_PER_LOOP_ITERATION
 
     def add(self, source: CommandSource) -> None:
         """Queue a connection for a turn, unless it is queued already."""
--- a/hookport/resp.py
+++ b/hookport/resp.py
@@ -4,7 +4,7 @@
 
 import math
 import re
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Literal
@@ -71,19 +71,6 @@
     def unparsed_bytes(self) -> int:
         return len(self.buffer) - self.position
 
-    def any_waiting(self, condition: Callable[[Message], bool]) -> bool:
-        """Whether a complete message that was not returned yet meets a condition; none is consumed."""
-        buffer, position = self.buffer, self.position
-        try:
-            while (message := self.gets()) is not False:
-                if condition(message):
-                    return True
-        except StreamError:
-            pass
-        finally:
-            self.buffer, self.position = buffer, position
-        return False
-
     def gets(self) -> Message | Literal[False]:
         """Return the next message, or False if it is not complete yet. Raises StreamError."""
         if not self.has_unparsed_data() or (header := self.parse_header(self.position)) is None:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -6,7 +6,17 @@
 import hiredis
 import pytest
 import uvloop
-from world import Client, World, hold_submits, query, reply_when_released, serve, submit, until
+from world import (
+    Client,
+    World,
+    hold_submits,
+    query,
+    replies_until_close,
+    reply_when_released,
+    serve,
+    submit,
+    until,
+)  # fmt: skip
 
 from hookport import client_connection, clients, resp
 from hookport.arrival_times import ArrivalTimes
@@ -16,15 +26,6 @@
     uvloop.run(scenario())  # type: ignore[arg-type]
 
 
-async def replies_until_close(client: Client) -> list[str]:
-    """All replies until the limiter closes the connection."""
-    replies = []
-    with pytest.raises(EOFError):
-        while True:
-            replies.append(str(await client.answer()))
-    return replies
-
-
 @pytest.mark.parametrize(
     "head", [b"*1000000000\r\n", b"*4\r\n*400000000\r\n", b"*9\r\n", b"*4\r\n$65537\r\n"]
 )
--- /dev/null
+++ b/tests/test_client_input.py
@@ -0,0 +1,99 @@
+"""How the bytes of client connections are read, wait and end: turns, memory, clients that leave."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import hiredis
+import pytest
+import uvloop
+from world import Client, World, query, replies_until_close, serve, until
+
+from hookport import resp
+from hookport.input_scheduler import COMMANDS_PER_TURN, TURNS_PER_LOOP_ITERATION
+
+# Turns of connections that have just received data, and then those of the queue.
+MAX_COMMANDS_PER_ITERATION = 2 * COMMANDS_PER_TURN * TURNS_PER_LOOP_ITERATION
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    uvloop.run(scenario())  # type: ignore[arg-type]
+
+
+class ParseCounter:
+    """Counts the messages that the daemon parses in an iteration of the loop; ``most`` is the largest count."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.count = self.most = 0
+        gets = resp.Reader.gets
+
+        def counted(reader: resp.Reader) -> object:
+            self.count += 1
+            self.most = max(self.most, self.count)
+            return gets(reader)
+
+        monkeypatch.setattr(resp.Reader, "gets", counted)
+        self.on_iteration()
+
+    def on_iteration(self) -> None:
+        self.count = 0
+        asyncio.get_running_loop().call_soon(self.on_iteration)
+
+
+async def send_at_once(clients: list[Client], data: bytes) -> None:
+    """Write in one iteration of the loop, so that the daemon finds all connections readable in the next."""
+    for client in clients:
+        client.writer.write(data)
+
+
+def test_invalid_commands_that_arrive_together_are_handled_in_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a limiter that hangs while it looks through all that bad clients have sent at once."""
+
+    async def scenario() -> None:
+        async with World(serve) as world:
+            await world.start()
+            bad, good = [await world.client() for _ in range(30)], await world.client()
+            assert await good.ask(b"PING") == b"PONG"
+            counter = ParseCounter(monkeypatch)
+            await send_at_once(bad, hiredis.pack_command((b"SVC.QUERY",)) * 3000)
+            assert await good.ask(*query(1)) == b"value"
+            for client in bad:
+                assert len(await replies_until_close(client)) <= 1  # a reset may overtake the error
+            assert counter.most <= MAX_COMMANDS_PER_ITERATION
+
+    run(scenario)
+
+
+def test_commands_of_many_connections_that_arrive_together_are_handled_in_turns(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a burst over many connections that is handled before any other socket is read."""
+
+    async def scenario() -> None:
+        async with World(serve) as world:
+            await world.start()
+            clients = [await world.client() for _ in range(100)]
+            counter = ParseCounter(monkeypatch)
+            await send_at_once(clients, hiredis.pack_command((b"PING",)) * COMMANDS_PER_TURN)
+            for client in clients:
+                assert [await client.answer() for _ in range(COMMANDS_PER_TURN)] == [
+                    b"PONG"
+                ] * COMMANDS_PER_TURN
+            assert counter.most <= MAX_COMMANDS_PER_ITERATION
+
+    run(scenario)
+
+
+def test_errors_of_invalid_commands_come_before_the_answer_of_a_valid_one_behind_them() -> None:
+    """Guards against answers out of order, where the errors of a connection's first commands are withheld."""
+
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client = await (await world.start()).client()
+            invalid, valid = hiredis.pack_command(query(0, wait_ms=0)), hiredis.pack_command(query(1))
+            client.writer.write(invalid * 50 + valid + invalid * 2)
+            replies = await replies_until_close(client)
+            assert [reply.startswith("ERR d ") for reply in replies] == [True] * 50 + [False] + [True] * 2
+            assert world.node and replies[50] == "b'value'"
+            await until(lambda: world.node and not world.node.clients.connections)
+
+    run(scenario)
--- a/tests/world.py
+++ b/tests/world.py
@@ -30,8 +30,8 @@
 
 __all__ = [
     "VALUE", "Client", "Discovery", "Handler", "Stub", "World", "hold_submits", "instance", "list_update",
-    "never_reply", "query", "reply_when_released", "reply_with", "reset", "serve", "settings", "submit",
-    "until", "within_timeout",
+    "never_reply", "query", "replies_until_close", "reply_when_released", "reply_with", "reset",
+    "serve", "settings", "submit", "until", "within_timeout",
 ]  # fmt: skip
 
 MS = 1_000_000
@@ -158,6 +158,16 @@
             writer.transport.abort()
 
 
+async def replies_until_close(client: Client) -> list[str]:
+    """All replies until the limiter closes the connection."""
+    replies = []
+    while True:
+        try:
+            replies.append(str(await client.answer()))
+        except EOFError:
+            return replies
+
+
 def query(number: int = 1, wait_ms: int = 3000, customer: int = 7, extra: bytes = b"") -> tuple[bytes, ...]:
     fields = b"c=lookup,t=team,d=%d,units=1,spread=1,first=0%s" % (wait_ms, extra)
     return (b"SVC.QUERY", b"%016x" % customer, b"%016x" % number, fields)
