Close a drained connection only when its socket holds nothing unread

Cause: whether a drained connection may close was decided by what had been read. While more than 128 KiB of commands wait the connection is not read, and when the waiting ones were refused at the end of the shutdown it was closed in the same iteration in which reading was resumed.

Change: Connection.may_end also looks at the socket (SocketInspector, which the emulator's network implements) and at an unfinished command.

--- a/hookport/client_connection.py
+++ b/hookport/client_connection.py
@@ -112,17 +112,25 @@
         """Do what comes next after commands were received, handled or answered: close, read on, or wait.
 
         ``restart`` tells whether the client did something, which restarts its time-out."""
-        ending = self.clients.draining or self.last_input
-        if self.closing or (ending and self.is_finished()):
+        if self.closing or self.may_end():
             return self.close_when_answered()
         if self.may_handle_command():
             self.clients.scheduler.add(self)
         self.update_reading()
         self.update_queue(restart)
 
-    def is_finished(self) -> bool:
-        """Whether all commands that were received completely are answered."""
-        return not self.pending_replies and not self.input_ready
+    def may_end(self) -> bool:
+        """Whether the connection is to end, and all commands that may still be answered are."""
+        if self.pending_replies or self.input_ready:
+            return False
+        if self.last_input:
+            return True
+        # Reading may have been paused while commands waited, and the rest of a command may be on its way.
+        return self.clients.draining and not self.reader.has_unparsed_data() and not self.has_unread_data()
+
+    def has_unread_data(self) -> bool:
+        """Whether the client has sent something that was not read, or has closed the connection."""
+        return self.clients.sockets.has_unread_data(self.transport)
 
     def may_handle_command(self) -> bool:
         """Whether the next command may be handled, if it is complete."""
@@ -262,7 +270,7 @@
         if queue is not self.queue or restart:
             self.leave_queue()
             if queue:
-                queue.entered_s[self] = clients.loop.time()
+                queue.enter(self, clients.loop.time())
             self.queue = queue
             if queue is clients.idle:
                 clients.evict_idle()
--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -13,6 +13,7 @@
 from hookport.client_connection import Connection, PendingReply
 from hookport.config import Address
 from hookport.input_scheduler import InputScheduler
+from hookport.socket_inspector import SocketInspector
 from hookport.wait_queue import WaitQueue
 
 if TYPE_CHECKING:
@@ -40,9 +41,10 @@
         on_request: Callable[[Sequence[object], PendingReply], None],
         is_request: Callable[[resp.Message], bool],
         max_connections: int,
+        sockets: SocketInspector,
     ) -> None:
         """``on_request`` handles a request or raises CommandError; ``is_request`` tells which it would do."""
-        self.loop, self.on_request, self.is_request = loop, on_request, is_request
+        self.loop, self.on_request, self.is_request, self.sockets = loop, on_request, is_request, sockets
         self.max_connections = max_connections
         self.scheduler = InputScheduler(loop)
         self.connections: dict[Connection, None] = {}
@@ -94,9 +96,20 @@
     def evict_idle(self) -> None:
         """Close the longest idle connection if idle ones take up too many of the allowed connections."""
         crowded = len(self.idle.entered_s) > MAX_IDLE_SHARE * self.max_connections
-        if crowded and (oldest := self.idle.oldest(self.loop.time() - EVICTION_GRACE_S)):
-            self.close_counts["evicted while idle"] += 1
+        if crowded:
+            self.close_idle(self.idle, self.loop.time() - EVICTION_GRACE_S, "evicted while idle", 1)
+
+    def close_idle(self, queue: WaitQueue, entered_by_s: float, reason: str, limit: int) -> None:
+        """Close up to ``limit`` connections that entered a queue of idle ones by that time.
+
+        One whose client has just sent something is idle no more, and waits for the loop to read it."""
+        while limit and (oldest := queue.oldest(entered_by_s)):
+            if oldest.has_unread_data():
+                queue.enter(oldest, self.loop.time())
+                continue
+            self.close_counts[reason] += 1
             oldest.close_when_answered()
+            limit -= 1
 
     def check_timeouts(self) -> None:
         """Close connections that are silent, stop within a command, stay idle, or do not read replies."""
@@ -105,9 +118,7 @@
             while oldest := queue.oldest(now_s - queue.timeout_s):
                 oldest.close_with_error(queue.reason)
         for queue in (self.no_request, self.idle):
-            while oldest := queue.oldest(now_s - queue.timeout_s):
-                self.close_counts[queue.reason] += 1
-                oldest.close_when_answered()
+            self.close_idle(queue, now_s - queue.timeout_s, queue.reason, len(queue.entered_s))
         while oldest := self.unread_replies.oldest(now_s - self.unread_replies.timeout_s):
             oldest.leave_queue()
             self.close_counts[self.unread_replies.reason] += 1
@@ -138,15 +149,14 @@
         self.loop.call_later(ACCEPT_AFTER_SIGTERM_S, self.drain)
 
     def drain(self) -> None:
-        """Stop accepting; each connection closes once its requests are answered."""
+        """Stop accepting; each connection closes once all that its client has sent is answered."""
         self.draining = True
         if self.server:
             self.server.close()
         if not self.connections:
             self.done.set()
         for connection in list(self.connections):
-            if connection.is_finished():
-                connection.close_when_answered()
+            connection.proceed(False)
 
     def close(self) -> None:
         self.scheduler.close()
--- a/hookport/emulator/network.py
+++ b/hookport/emulator/network.py
@@ -317,7 +317,7 @@
             refused = ConnectionRefusedError(111, f"nothing listens at {receiver}")
             self.loop.call_soon(origin.protocol.error_received, refused, context=origin.context)
 
-    def has_unread(self, transport: Any) -> bool:
+    def has_unread_data(self, transport: Any) -> bool:
         """Return whether received data was not read yet, or the peer has closed."""
         return bool(transport.inbox) or transport.remote_close is not False
 
--- a/hookport/emulator/whole.py
+++ b/hookport/emulator/whole.py
@@ -191,7 +191,7 @@
         context = contextvars.copy_context()
         context.run(CURRENT_PROCESS.set, slot.process)
         node = slot.node = context.run(
-            Node, config, self.loop, Environment.clock_ns, Environment.unix_ns, self.network.has_unread
+            Node, config, self.loop, Environment.clock_ns, Environment.unix_ns, self.network
         )
         started = asyncio.Event()
         self.loop.create_task(self.run_limiter(slot, node, started), context=context).add_done_callback(
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -17,7 +17,8 @@
 from hookport.config import Address, Config
 from hookport.counter import Call, Counter
 from hookport.discovery import Discovery
-from hookport.servers import Attempt, Servers, has_unread_data
+from hookport.servers import Attempt, Servers
+from hookport.socket_inspector import SocketInspector, SystemSocketInspector
 
 if TYPE_CHECKING:
     from hookport.limits import LimitCommands
@@ -71,11 +72,11 @@
         loop: asyncio.AbstractEventLoop,
         clock_ns: Callable[[], int] = time.monotonic_ns,
         unix_ns: Callable[[], int] = time.time_ns,
-        has_unread_data: Callable[[asyncio.Transport], bool] = has_unread_data,
+        sockets: SocketInspector | None = None,
     ) -> None:
-        """``clock_ns`` must be monotonic; ``unix_ns`` is read once; ``has_unread_data`` tells whether an idle
-        server connection has data to read. All three and the loop can be replaced, as in a simulation."""
-        settings = config.settings
+        """``clock_ns`` must be monotonic; ``unix_ns`` is read once; ``sockets`` looks at those of transports.
+        All three and the loop can be replaced, as in a simulation."""
+        settings, sockets = config.settings, sockets or SystemSocketInspector()
         self.config, self.settings, self.loop = config, settings, loop
         # Counter keys and the servers' start times are based on Unix time, which must not jump: a monotonic
         # clock with a fixed offset.
@@ -102,6 +103,7 @@
             self.handle_request,
             self.request_parser.accepts,
             round(max_connections * CLIENT_CONNECTION_SHARE),
+            sockets,
         )
         max_server_connections = max_connections - self.clients.max_connections
         server_idle_timeout_s = config.server_idle_timeout_ns / SECOND_NS
@@ -111,7 +113,7 @@
             connect_timeout_s,
             server_idle_timeout_s,
             max_server_connections,
-            has_unread_data,
+            sockets,
         )
         self.members = self.create_membership() if config.options and config.options.membership else None
         resubscribe, members = not settings.subscribe, self.members
--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -5,13 +5,13 @@
 import asyncio
 import logging
 import re
-import select
 from collections.abc import Callable
 from typing import cast
 
 from aniseshed.interface import Outcome
 from hookport import resp
 from hookport.config import Address
+from hookport.socket_inspector import SocketInspector
 
 Endpoint = tuple[Address, int]  # a server's address and start time; a restarted server is another endpoint
 
@@ -25,7 +25,6 @@
 REUSE_DELAY_S = 0.02
 STALL_TIMEOUT_S = 0.25  # the longest pause within an answer
 ANSWER_ELEMENTS = 3  # the value, usage figures, and a load report
-POLLER = select.poll()  # shared: there is one thread, and one socket is registered at a time
 LOAD_REPORT = re.compile(rb"(|[a-z_]+=[0-9.eE+-]+(,[a-z_]+=[0-9.eE+-]+)*)").fullmatch
 
 
@@ -136,15 +135,6 @@
     raise resp.StreamError("an unexpected answer")
 
 
-def has_unread_data(transport: asyncio.Transport) -> bool:
-    """Whether the socket has data to read, or its peer has closed it."""
-    descriptor = transport.get_extra_info("socket").fileno()
-    POLLER.register(descriptor, select.POLLIN)
-    events = POLLER.poll(0)
-    POLLER.unregister(descriptor)
-    return bool(events)
-
-
 class Servers:
     """The connection pool; it reports the end of each attempt exactly once, to ``on_end``."""
 
@@ -155,14 +145,9 @@
         connect_timeout_s: float,
         server_idle_timeout_s: float,
         max_connections: int,
-        has_unread_data: Callable[[asyncio.Transport], bool],
+        sockets: SocketInspector,
     ) -> None:
-        self.loop, self.on_end, self.max_connections, self.has_unread_data = (
-            loop,
-            on_end,
-            max_connections,
-            has_unread_data,
-        )
+        self.loop, self.on_end, self.max_connections, self.sockets = loop, on_end, max_connections, sockets
         self.connect_timeout_s, self.idle_timeout_s = (
             connect_timeout_s,
             server_idle_timeout_s * IDLE_TIMEOUT_SHARE,
@@ -220,7 +205,7 @@
                 connection.idle_since_s + self.idle_timeout_s > now_s
                 and not connection.transport.is_closing()
             )
-            if usable and not self.has_unread_data(connection.transport):
+            if usable and not self.sockets.has_unread_data(connection.transport):
                 return connection  # no unread bytes could be mistaken for the next answer
             connection.transport.abort()
         return None
--- a/hookport/wait_queue.py
+++ b/hookport/wait_queue.py
@@ -17,6 +17,11 @@
         self.timeout_s, self.reason = timeout_s, reason
         self.entered_s: dict[Connection, float] = {}
 
+    def enter(self, connection: Connection, now_s: float) -> None:
+        """Put a connection at the end of the queue, also if it is in the queue already."""
+        self.entered_s.pop(connection, None)
+        self.entered_s[connection] = now_s
+
     def oldest(self, entered_by_s: float) -> Connection | None:
         """The connection that has waited longest, if it entered the queue by that time."""
         first = next(iter(self.entered_s), None)
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -1,14 +1,16 @@
 """How the bytes of client connections are read, wait and end: turns, memory, clients that leave."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import hiredis
 import pytest
 import uvloop
-from world import Client, World, query, replies_until_close, serve, until
+from world import Client, World, never_reply, query, replies_until_close, serve, submit, until
 
 from hookport import resp
+from hookport.client_connection import MAX_PIPELINED
 from hookport.input_scheduler import COMMANDS_PER_TURN, TURNS_PER_LOOP_ITERATION
 
 # Turns of connections that have just received data, and then those of the queue.
@@ -20,7 +22,7 @@
 
 
 class ParseCounter:
-    """Counts the messages that the daemon parses in an iteration of the loop; ``most`` is the largest count."""
+    """Counts the messages that the daemon parses in each iteration of the loop; ``most`` is the maximum."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.count = self.most = 0
@@ -97,3 +99,60 @@
             await until(lambda: world.node and not world.node.clients.connections)
 
     run(scenario)
+
+
+def test_commands_that_wait_unread_in_the_socket_are_answered_before_a_drained_connection_closes() -> None:
+    """Guards against a shutdown that closes a connection over whole requests that were not read yet."""
+
+    async def scenario() -> None:
+        async with World(never_reply) as world:
+            client, node = await (await world.start()).client(), world.node
+            assert node
+            commands = [submit(n) for n in range(MAX_PIPELINED)]
+            commands += [submit(MAX_PIPELINED + n, body=b"b" * 60_000) for n in range(30)]
+            client.writer.write(b"".join(map(hiredis.pack_command, commands)))
+            await until(lambda: any(c.reading_paused for c in node.clients.connections))
+            node.clients.drain()
+            node.answer_all()
+            assert len(await replies_until_close(client)) == len(commands)
+            await until(node.clients.done.is_set)
+
+    run(scenario)
+
+
+def test_drained_connection_waits_for_the_rest_of_a_command() -> None:
+    """Guards against a shutdown that closes a connection while its client is writing a request."""
+
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client, node = await (await world.start()).client(), world.node
+            assert node
+            command = hiredis.pack_command(submit())
+            client.writer.write(command[:30])
+            await until(lambda: any(c.reader.has_unparsed_data() for c in node.clients.connections))
+            node.clients.drain()
+            client.writer.write(command[30:])
+            assert await replies_until_close(client) == ["b'value'"]
+            await until(node.clients.done.is_set)
+
+    run(scenario)
+
+
+def test_idle_connection_is_not_closed_over_a_request_that_was_just_sent() -> None:
+    """Guards against a request that is lost because it crosses the end of an idle connection."""
+
+    async def scenario() -> None:
+        async with World(serve) as world:
+            node = (await world.start()).node
+            with socket.create_connection(("127.0.0.1", world.port)) as sock:
+                client = Client(*await asyncio.open_connection(sock=sock))
+                assert node and await client.ask(*query(1)) == b"value"
+                await until(lambda: node.clients.idle.entered_s)
+                sock.send(hiredis.pack_command(query(2)))
+                node.clients.idle.timeout_s = 0.0
+                node.clients.check_timeouts()
+                node.clients.idle.timeout_s = 15.0
+                assert await client.answer() == b"value"
+                client.writer.transport.abort()
+
+    run(scenario)
