Notice within 50 ms that a client has gone, also behind commands that are not read

Cause: behind 64 unanswered commands and 128 KiB that wait a connection is not read, and only reading showed its end. Evidence: in the new test 88 of 100 requests are handled on the code before, 64 (those handled before the close) now.

Change: HangupMonitor polls the connections that are not read for a close (POLLRDHUP) every 50 ms, and drops those whose clients have gone. Kin: where attempts may not be cancelled, one that is not written yet is dropped when its client goes, and one at a hung server ends at its deadline.

--- a/hookport/client_connection.py
+++ b/hookport/client_connection.py
@@ -22,9 +22,7 @@
 SECOND_NS = 1_000_000_000
 MAX_ARGUMENTS = 8  # the longest command, HELLO with all its options, has seven
 MAX_PIPELINED = 64  # unanswered commands of a connection; the next ones wait
-# A connection is not read while more bytes of commands wait.  Up to that it is, because only reading shows
-# that the client has closed its connection.
-MAX_WAITING_BYTES = 128 * 1024
+MAX_WAITING_BYTES = 128 * 1024  # A connection is not read while more bytes of commands wait.
 MAX_REJECTED = 16  # invalid commands on a connection that has also sent valid requests
 MAX_UNREAD_REPLY_BYTES = 1 << 20  # a client with more unread replies is disconnected
 
@@ -243,7 +241,17 @@
         pause = self.closing or self.last_input or self.write_paused or too_much_waits
         if pause != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = pause
-            (self.transport.pause_reading if pause else self.transport.resume_reading)()
+            if pause:
+                self.transport.pause_reading()
+                self.clients.hangup_monitor.add(self)
+            else:
+                self.clients.hangup_monitor.remove(self)
+                self.transport.resume_reading()
+
+    def abandon(self) -> None:
+        """Drop the connection of a client that has gone; what waits on it is not handled."""
+        self.closing = True
+        self.transport.abort()
 
     def pause_writing(self) -> None:
         self.write_paused = True
--- a/hookport/clients.py
+++ b/hookport/clients.py
@@ -12,6 +12,7 @@
 from hookport import resp
 from hookport.client_connection import Connection, PendingReply
 from hookport.config import Address
+from hookport.hangup_monitor import HangupMonitor
 from hookport.input_scheduler import InputScheduler
 from hookport.socket_inspector import SocketInspector
 from hookport.wait_queue import WaitQueue
@@ -47,6 +48,7 @@
         self.loop, self.on_request, self.is_request, self.sockets = loop, on_request, is_request, sockets
         self.max_connections = max_connections
         self.scheduler = InputScheduler(loop)
+        self.hangup_monitor = HangupMonitor(loop, sockets)
         self.connections: dict[Connection, None] = {}
         self.no_command = WaitQueue(2.0, "no command in time")  # for the first command
         self.partial_command = WaitQueue(2.0, "no command in time")  # for the rest of a command
@@ -139,6 +141,7 @@
     def remove_connection(self, connection: Connection) -> None:
         connection.leave_queue()
         self.scheduler.remove(connection)
+        self.hangup_monitor.remove(connection)
         self.connections.pop(connection, None)
         if self.draining and not self.connections:
             self.done.set()
@@ -160,5 +163,6 @@
 
     def close(self) -> None:
         self.scheduler.close()
+        self.hangup_monitor.close()
         if self.timeout_timer:
             self.timeout_timer.cancel()
--- a/hookport/emulator/network.py
+++ b/hookport/emulator/network.py
@@ -321,6 +321,10 @@
         """Return whether received data was not read yet, or the peer has closed."""
         return bool(transport.inbox) or transport.remote_close is not False
 
+    def is_closed_by_peer(self, transport: Any) -> bool:
+        """Return whether the peer has closed, also if received data was not read yet."""
+        return transport.remote_close is not False
+
     def kill(self, process: SimulatedProcess) -> None:
         """End a process as SIGKILL does: close its sockets, with a reset where received data was not read."""
         process.terminated = True
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -321,8 +321,24 @@
             request.pending_reply.complete(reply)
 
     def client_disconnected(self, request_id: int) -> None:
-        if self.remove_request(request_id):
+        if request := self.remove_request(request_id):
             self.feed(api.HungUp(request_id))
+            self.release_attempts(request)
+
+    def release_attempts(self, request: OpenRequest) -> None:
+        """End what the limiter did not cancel for a client that has gone, as the settings may forbid it.
+
+        Nothing more begins for the request, and an attempt at a server that hangs ends at its deadline."""
+        for number in range(request.attempt_count):
+            if not (attempt := self.attempts.get((request.request_id, number))):
+                continue
+            if not attempt.is_written():
+                self.servers.abort_attempt(attempt, api.Outcome.NOT_SENT)
+            elif attempt.deadline_timer is None:
+                wait_s = (request.deadline_ns - self.now_ns()) / SECOND_NS
+                attempt.deadline_timer = self.loop.call_later(
+                    wait_s, self.servers.abort_attempt, attempt, api.Outcome.TIMEOUT
+                )
 
     def request_expired(self, request_id: int) -> None:
         """At the deadline, end the attempts as timed out; the limiter then gives the final answer."""
--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -43,6 +43,10 @@
         self.connect_task: asyncio.Task[None] | None = None
         self.deadline_timer: asyncio.TimerHandle | None = None
 
+    def is_written(self) -> bool:
+        """Whether the whole command was handed to the operating system."""
+        return self.connection is not None and self.connection.written
+
 
 class ServerConnection(asyncio.Protocol):
     """A connection to a server; it carries one attempt at a time."""
--- a/hookport/socket_inspector.py
+++ b/hookport/socket_inspector.py
@@ -13,6 +13,9 @@
     def has_unread_data(self, transport: asyncio.Transport) -> bool:
         """Whether there is data to read, or the peer has closed the connection."""
 
+    def is_closed_by_peer(self, transport: asyncio.Transport) -> bool:
+        """Whether the peer has closed the connection or its sending side, also behind unread data."""
+
 
 class SystemSocketInspector:
     """The inspector of real sockets."""
@@ -23,6 +26,9 @@
     def has_unread_data(self, transport: asyncio.Transport) -> bool:
         return self.has_event(transport, select.POLLIN)
 
+    def is_closed_by_peer(self, transport: asyncio.Transport) -> bool:
+        return self.has_event(transport, select.POLLRDHUP)
+
     def has_event(self, transport: asyncio.Transport, event: int) -> bool:
         """Whether an event of a kind, an error or a hang-up is pending on the transport's socket."""
         descriptor = transport.get_extra_info("socket").fileno()
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -2,16 +2,28 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 
 import hiredis
 import pytest
 import uvloop
-from world import Client, World, never_reply, query, replies_until_close, serve, submit, until
+from world import (
+    Client,
+    World,
+    hold_submits,
+    never_reply,
+    query,
+    replies_until_close,
+    serve,
+    submit,
+    until,
+)  # fmt: skip
 
 from hookport import resp
-from hookport.client_connection import MAX_PIPELINED
+from hookport.client_connection import MAX_PIPELINED, PendingReply
 from hookport.input_scheduler import COMMANDS_PER_TURN, TURNS_PER_LOOP_ITERATION
+from hookport.servers import Attempt, Endpoint, Servers
 
 # Turns of connections that have just received data, and then those of the queue.
 MAX_COMMANDS_PER_ITERATION = 2 * COMMANDS_PER_TURN * TURNS_PER_LOOP_ITERATION
@@ -156,3 +168,85 @@
                 client.writer.transport.abort()
 
     run(scenario)
+
+
+def test_client_that_closes_is_noticed_behind_unread_commands() -> None:
+    """Guards against requests that are sent on for a client whose close lies behind unread ones."""
+
+    async def scenario() -> None:
+        async with World(hold_submits) as world:
+            node = (await world.start()).node
+            assert node
+            handled = 0
+            on_request = node.clients.on_request
+
+            def count(arguments: Sequence[object], reply: PendingReply) -> None:
+                nonlocal handled
+                handled += 1
+                on_request(arguments, reply)
+
+            node.clients.on_request = count
+            commands = [submit(n, body=b"b" * 8192) for n in range(100)]
+            with socket.create_connection(("127.0.0.1", world.port)) as sock:
+                await asyncio.to_thread(sock.sendall, b"".join(map(hiredis.pack_command, commands)))
+                await until(lambda: handled == MAX_PIPELINED)
+            await until(lambda: not node.clients.connections)
+            world.stubs[0].release.set()
+            await until(lambda: not node.attempts)
+            assert handled == MAX_PIPELINED and not node.open_requests and not node.limiter.in_flight
+            assert not node.clients.hangup_monitor.connections
+
+    run(scenario)
+
+
+def test_attempt_that_may_not_be_cancelled_does_not_begin_for_a_client_that_has_gone() -> None:
+    """Guards against a late connection that carries a request whose client has gone."""
+
+    async def scenario() -> None:
+        async with World(serve) as world:
+            client, node = await (await world.start()).client(), world.node
+            assert node
+            node.limiter.settings = replace(node.settings, may_cancel=False)
+            may_open = hold_connections(node.servers)
+            client.send(*submit())
+            await until(lambda: node.servers.connecting)
+            client.writer.close()
+            await until(lambda: not node.clients.connections)
+            may_open.set()
+            assert await (await world.client()).ask(*query(2)) == b"value"
+            assert [command[0] for command in world.stubs[0].commands] == [b"SVC.QUERY"]
+            assert not node.attempts and not node.limiter.in_flight
+
+    run(scenario)
+
+
+def test_attempt_at_a_hung_server_ends_at_the_deadline_of_a_client_that_has_gone() -> None:
+    """Guards against attempts that stay in flight for good, where none is cancelled."""
+
+    async def scenario() -> None:
+        async with World(never_reply) as world:
+            client, node = await (await world.start()).client(), world.node
+            assert node
+            node.limiter.settings = replace(node.settings, may_cancel=False)
+            client.send(*submit(wait_ms=300))
+            await until(lambda: world.stubs[0].commands)
+            client.writer.close()
+            await until(lambda: not node.open_requests)
+            assert node.limiter.in_flight
+            await until(lambda: not node.attempts)
+            assert not node.limiter.in_flight and node.limiter.concurrency.current == 0
+
+    run(scenario)
+
+
+def hold_connections(servers: Servers) -> asyncio.Event:
+    """New connections to servers come up only when the returned event is set."""
+    may_open = asyncio.Event()
+    open_connection = servers.open_connection
+
+    async def open_later(attempt: Attempt, endpoint: Endpoint) -> None:
+        await may_open.wait()
+        await open_connection(attempt, endpoint)
+
+    servers.open_connection = open_later  # type: ignore[method-assign]
+    return may_open
