Never write a further attempt of a keyed request after its window for repeats

Cause: the window was checked when the attempt was decided; from then on nothing knew of it, and the command was written whenever the connection was up.

Change: Send.write_by_ns carries the end of the window; the pool checks it with the clock at the write, and a timer ends an attempt that is not written by then as not sent. Kin: the time that a server is told is reckoned at the write (974 ms were told when 574 were left, with a connection 0.4 s late), and nothing is written after its request's time.

--- a/aniseshed/interface.py
+++ b/aniseshed/interface.py
@@ -307,11 +307,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Start an attempt; with ``deadline_ns`` 0 only the timeout of the request limits it."""
+    """Start an attempt; with ``deadline_ns`` 0 only the timeout of the request limits it.
+
+    From ``write_by_ns`` on the attempt must not be written to the server any more, also if its connection
+    comes up late; it ends as NOT_SENT. 0 sets no such time before the deadline."""
 
     request_id: int
     server: bytes
     deadline_ns: int
+    write_by_ns: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -601,8 +601,8 @@
         del self.pending[pending.request.request_id]
         self.actions.append(api.QuotaAnswer(pending.request.request_id, True, remaining, 0))
 
-    def start_attempt(self, pending: PendingRequest, server: Server) -> None:
-        """Send an attempt to a server and record it as in flight."""
+    def start_attempt(self, pending: PendingRequest, server: Server, write_by_ns: int = 0) -> None:
+        """Send an attempt to a server, if it can be written by a time, and record it as in flight."""
         request_id, class_index, number = (
             pending.request.request_id,
             pending.request.traffic_class,
@@ -637,22 +637,15 @@
         deadline_ns = (
             self.now_ns + round(UNPROVEN_TIMEOUT_SHARE * pending.traffic_class.target_ns) if unproven else 0
         )
-        self.actions.append(api.Send(request_id, server.entry.server, deadline_ns))
+        self.actions.append(api.Send(request_id, server.entry.server, deadline_ns, write_by_ns))
 
     def retry(self, pending: PendingRequest) -> bool:
         """Start another attempt if class, retry budget and latency target allow it; return whether it
         started.
 
         Under load there are no retries, since each would displace another request."""
-        traffic_class, executed = pending.traffic_class, [a for a in pending.attempts if a.may_have_run]
-        dedup_window_ns = (
-            traffic_class.dedup_window_ns
-            if traffic_class.idempotency is Idempotency.KEYED and traffic_class.dedup_scope is DedupScope.ALL
-            else 0
-        )
-        may_run_twice = traffic_class.idempotency is not Idempotency.SAFE and any(
-            self.now_ns >= a.sent_ns + dedup_window_ns for a in executed
-        )
+        traffic_class, write_by_ns = pending.traffic_class, self.repeat_by_ns(pending)
+        may_run_twice = write_by_ns is not None and self.now_ns >= write_by_ns
         late = self.now_ns >= pending.target_at_ns and not traffic_class.late_value
         exhausted = len(pending.attempts) >= self.settings.max_attempts or self.retry_tokens < 1
         server = self.pick_server([a.server for a in pending.attempts], pending.request)
@@ -665,9 +658,22 @@
         ):
             return False
         self.retry_tokens -= 1
-        self.start_attempt(pending, server)
+        self.start_attempt(pending, server, write_by_ns or 0)
         return True
 
+    def repeat_by_ns(self, pending: PendingRequest) -> int | None:
+        """The time from which another attempt might execute the request again; None if that does no harm.
+
+        Servers forget a keyed request a while after the first attempt that may have been executed."""
+        traffic_class, executed = pending.traffic_class, [a for a in pending.attempts if a.may_have_run]
+        if traffic_class.idempotency is Idempotency.SAFE or not executed:
+            return None
+        is_deduplicated = (
+            traffic_class.idempotency is Idempotency.KEYED and traffic_class.dedup_scope is DedupScope.ALL
+        )
+        dedup_window_ns = traffic_class.dedup_window_ns if is_deduplicated else 0
+        return min(a.sent_ns for a in executed) + dedup_window_ns
+
     def finish(self, event: api.HungUp | api.StreamBegun | api.AttemptEnded) -> None:
         """Remove a request that needs no answer any more, and cancel its other attempts."""
         pending = self.pending.pop(event.request_id, None)
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -114,6 +114,7 @@
             server_idle_timeout_s,
             max_server_connections,
             sockets,
+            self.now_ns,
         )
         self.members = self.create_membership() if config.options and config.options.membership else None
         resubscribe, members = not settings.subscribe, self.members
@@ -332,9 +333,8 @@
         for number in range(request.attempt_count):
             if not (attempt := self.attempts.get((request.request_id, number))):
                 continue
-            if not attempt.is_written():
-                self.servers.abort_attempt(attempt, api.Outcome.NOT_SENT)
-            elif attempt.deadline_timer is None:
+            self.servers.abort_unwritten(attempt)
+            if attempt.is_written() and attempt.deadline_timer is None:
                 wait_s = (request.deadline_ns - self.now_ns()) / SECOND_NS
                 attempt.deadline_timer = self.loop.call_later(
                     wait_s, self.servers.abort_attempt, attempt, api.Outcome.TIMEOUT
@@ -358,14 +358,21 @@
         number, request.attempt_count = request.attempt_count, request.attempt_count + 1
         now_ns = self.now_ns()
         deadline_ns = min(action.deadline_ns or request.deadline_ns, request.deadline_ns)
-        payload = request.command.forward(max(1, (deadline_ns - now_ns) // MS_NS))
-        attempt = Attempt(action.request_id, number, action.server, payload, now_ns)
+        write_by_ns = min(action.write_by_ns or deadline_ns, deadline_ns)
+
+        def encode(write_ns: int) -> bytes:
+            return request.command.forward(max(1, (deadline_ns - write_ns) // MS_NS))
+
+        attempt = Attempt(action.request_id, number, action.server, encode, now_ns, write_by_ns)
         self.attempts[action.request_id, number] = attempt
         if deadline_ns < request.deadline_ns:
             wait_s = (deadline_ns - now_ns) / SECOND_NS
             attempt.deadline_timer = self.loop.call_later(
                 wait_s, self.servers.abort_attempt, attempt, api.Outcome.TIMEOUT
             )
+        if write_by_ns < deadline_ns:
+            wait_s = (write_by_ns - now_ns) / SECOND_NS
+            attempt.write_timer = self.loop.call_later(wait_s, self.servers.abort_unwritten, attempt)
         self.servers.send(attempt)
 
     def cancel(self, action: api.Cancel) -> None:
--- a/hookport/rehearsal/mutants.py
+++ b/hookport/rehearsal/mutants.py
@@ -69,7 +69,9 @@
             old(self, action)
             if action.request_id in self.open_requests and draw_fault():
                 request = self.open_requests[action.request_id]
-                duplicate = servers.Attempt(0, 99, action.server, request.command.forward(500), self.now_ns())
+                duplicate = servers.Attempt(
+                    0, 99, action.server, lambda _: request.command.forward(500), self.now_ns()
+                )
                 self.servers.send(duplicate)
 
         return send
--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import re
 from collections.abc import Callable
 from typing import cast
@@ -29,19 +30,31 @@
 
 
 class Attempt:
-    """One command on its way to a server; ``connection`` is None until it has one."""
+    """One command on its way to a server; ``connection`` is None until it has one.
+
+    ``encode`` returns the command as it is written at a given time, since it says how long the limiter waits.
+    ``write_by_ns`` is the time from which it must not be written any more."""
 
     __slots__ = (
-        "connection", "number", "connect_task", "payload", "request_id", "sent_ns", "server",
-        "deadline_timer",
+        "connection", "connect_task", "deadline_timer", "encode", "number", "request_id", "sent_ns", "server",
+        "write_by_ns", "write_timer",
     )  # fmt: skip
 
-    def __init__(self, request_id: int, number: int, server: bytes, payload: bytes, sent_ns: int) -> None:
+    def __init__(
+        self,
+        request_id: int,
+        number: int,
+        server: bytes,
+        encode: Callable[[int], bytes],
+        sent_ns: int,
+        write_by_ns: float = math.inf,
+    ) -> None:
         self.request_id, self.number, self.server = request_id, number, server
-        self.payload, self.sent_ns = payload, sent_ns
+        self.encode, self.sent_ns, self.write_by_ns = encode, sent_ns, write_by_ns
         self.connection: ServerConnection | None = None
         self.connect_task: asyncio.Task[None] | None = None
         self.deadline_timer: asyncio.TimerHandle | None = None
+        self.write_timer: asyncio.TimerHandle | None = None
 
     def is_written(self) -> bool:
         """Whether the whole command was handed to the operating system."""
@@ -67,7 +80,7 @@
 
     def start(self, attempt: Attempt) -> None:
         self.attempt, attempt.connection = attempt, self
-        self.transport.write(attempt.payload)
+        self.transport.write(attempt.encode(self.pool.now_ns()))
         # An attempt whose write failed or is still buffered has never been executed.
         self.written = not self.transport.is_closing() and self.transport.get_write_buffer_size() == 0
 
@@ -150,8 +163,11 @@
         server_idle_timeout_s: float,
         max_connections: int,
         sockets: SocketInspector,
+        now_ns: Callable[[], int],
     ) -> None:
+        """``now_ns`` is the clock of the attempts' times."""
         self.loop, self.on_end, self.max_connections, self.sockets = loop, on_end, max_connections, sockets
+        self.now_ns = now_ns
         self.connect_timeout_s, self.idle_timeout_s = (
             connect_timeout_s,
             server_idle_timeout_s * IDLE_TIMEOUT_SHARE,
@@ -190,7 +206,7 @@
 
     def send(self, attempt: Attempt) -> None:
         if connection := self.take_idle(attempt.server):
-            return connection.start(attempt)
+            return self.write(attempt, connection)
         endpoint = self.endpoints.get(attempt.server)
         if endpoint is None or not self.make_room():
             return self.end_attempt(attempt, Outcome.CONNECT_FAILED, b"")
@@ -268,14 +284,27 @@
         self.connections[connection] = None
         if attempt in self.connecting:
             del self.connecting[attempt]
-            connection.start(attempt)
+            self.write(attempt, connection)
         else:
             self.keep_idle(connection)
 
+    def write(self, attempt: Attempt, connection: ServerConnection) -> None:
+        """Write an attempt to a connection that is up, unless that has taken too long."""
+        if self.now_ns() < attempt.write_by_ns:
+            return connection.start(attempt)
+        self.keep_idle(connection)
+        self.end_attempt(attempt, Outcome.NOT_SENT, b"")
+
+    def abort_unwritten(self, attempt: Attempt) -> None:
+        """End an attempt that was not written whole by its time."""
+        if not attempt.is_written():
+            self.abort_attempt(attempt, Outcome.NOT_SENT)
+
     def end_attempt(self, attempt: Attempt, outcome: Outcome, value: bytes) -> None:
         attempt.connection = None
-        if attempt.deadline_timer:
-            attempt.deadline_timer.cancel()
+        for timer in (attempt.deadline_timer, attempt.write_timer):
+            if timer:
+                timer.cancel()
         self.on_end(attempt, outcome, value)
 
     def abort_attempt(self, attempt: Attempt, outcome: Outcome) -> None:
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -11,6 +11,7 @@
 from world import (
     Client,
     World,
+    hold_connections,
     hold_submits,
     never_reply,
     query,
@@ -23,7 +24,6 @@
 from hookport import resp
 from hookport.client_connection import MAX_PIPELINED, PendingReply
 from hookport.input_scheduler import COMMANDS_PER_TURN, TURNS_PER_LOOP_ITERATION
-from hookport.servers import Attempt, Endpoint, Servers
 
 # Turns of connections that have just received data, and then those of the queue.
 MAX_COMMANDS_PER_ITERATION = 2 * COMMANDS_PER_TURN * TURNS_PER_LOOP_ITERATION
@@ -237,16 +237,3 @@
             assert not node.limiter.in_flight and node.limiter.concurrency.current == 0
 
     run(scenario)
-
-
-def hold_connections(servers: Servers) -> asyncio.Event:
-    """New connections to servers come up only when the returned event is set."""
-    may_open = asyncio.Event()
-    open_connection = servers.open_connection
-
-    async def open_later(attempt: Attempt, endpoint: Endpoint) -> None:
-        await may_open.wait()
-        await open_connection(attempt, endpoint)
-
-    servers.open_connection = open_later  # type: ignore[method-assign]
-    return may_open
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -267,7 +267,7 @@
             pool.on_end = lambda attempt, result, value: ends.append(result)
             connection, transport = ServerConnection(pool, b"s-0", (("127.0.0.1", 1), 0)), HalfWritten()
             connection.connection_made(transport)  # type: ignore[arg-type]
-            connection.start(Attempt(1, 0, b"s-0", b"payload", 0))
+            connection.start(Attempt(1, 0, b"s-0", lambda now_ns: b"payload", 0))
             if drained:
                 transport.left = 0
                 connection.resume_writing()
@@ -605,7 +605,8 @@
             (old,) = servers.connections
             servers.max_connections = 1
             other = next(n for n in range(2) if old.server != b"s-%d" % n)
-            servers.send(attempt := Attempt(9, 0, b"s-%d" % other, hiredis.pack_command(query(2)), 0))
+            command = hiredis.pack_command(query(2))
+            servers.send(attempt := Attempt(9, 0, b"s-%d" % other, lambda now_ns: command, 0))
             servers.on_end = lambda *ended: ends.append(ended)
             ends: list[tuple[Attempt, Outcome, bytes]] = []
             await until(lambda: ends)
--- a/tests/world.py
+++ b/tests/world.py
@@ -27,11 +27,12 @@
     until,
     within_timeout,
 )
+from hookport.servers import Attempt, Endpoint, Servers
 
 __all__ = [
-    "VALUE", "Client", "Discovery", "Handler", "Stub", "World", "hold_submits", "instance", "list_update",
-    "never_reply", "query", "replies_until_close", "reply_when_released", "reply_with", "reset",
-    "serve", "settings", "submit", "until", "within_timeout",
+    "VALUE", "Client", "Discovery", "Handler", "Stub", "World", "hold_connections", "hold_submits",
+    "instance", "list_update", "never_reply", "query", "replies_until_close", "reply_when_released",
+    "reply_with", "reset", "serve", "settings", "submit", "until", "within_timeout",
 ]  # fmt: skip
 
 MS = 1_000_000
@@ -158,6 +159,22 @@
             writer.transport.abort()
 
 
+def hold_connections(servers: Servers, prompt: int = 0) -> asyncio.Event:
+    """New connections to servers after the first ``prompt`` come up only when the returned event is set."""
+    may_open, opened = asyncio.Event(), 0
+    open_connection = servers.open_connection
+
+    async def open_later(attempt: Attempt, endpoint: Endpoint) -> None:
+        nonlocal opened
+        opened += 1
+        if opened > prompt:
+            await may_open.wait()
+        await open_connection(attempt, endpoint)
+
+    servers.open_connection = open_later  # type: ignore[method-assign]
+    return may_open
+
+
 async def replies_until_close(client: Client) -> list[str]:
     """All replies until the limiter closes the connection."""
     replies = []
