Take a new process at an address, or a restarted one, for another server

A server that is told to be at another's address was used beside that one, so that the new, cold process got the work of both; attempts whose connection was coming up when their server restarted or moved were written to whoever answered; a restarted server kept the failures, ejection, latency and attempts in flight of its former process.

Cause: the pool told processes apart only for connections that it kept, the decision module by id alone.

Change: of two servers at one address the one that started last is used, over all lists; such attempts end as not sent and are decided anew after the list; a later start is a new record, and only listed servers count as ejected.

--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -485,6 +485,7 @@
         if event.kind is ListKind.CACHED and self.settings.subscribe:
             self.actions.append(api.Watch(True))
         apply_server_list(self.servers, event)
+        self.ejected.intersection_update(self.servers.values())
         # Each limiter walks the servers in a fixed order from its own offset, so that it uses few servers and
         # every server is used by about as many limiters.
         keys = sorted(self.servers, key=zlib.crc32)
@@ -733,7 +734,8 @@
                     EJECTION_CONNECT_TIMEOUTS * self.settings.connect_timeout_ns
                 )
                 server.on_probation = True
-                self.ejected.add(server)
+                if self.servers.get(server.entry.server) is server:
+                    self.ejected.add(server)
         elif event.outcome is Outcome.FULL:
             target_ns = self.settings.classes[attempt.class_index].target_ns
             server.full_until_ns[attempt.plan_index, attempt.class_index] = self.now_ns + round(
--- a/aniseshed/state.py
+++ b/aniseshed/state.py
@@ -94,9 +94,10 @@
         if entry.health is api.Health.GONE:
             servers.pop(entry.server, None)
             continue
-        if server is None:
+        if server is None or entry.started_ns > server.started_ns:
+            # A restarted server is another process: it has nothing in flight, and nothing is known of it.
             servers[entry.server] = Server(entry, entry.started_ns)
         else:
             if entry.presumed_start_ns != server.entry.presumed_start_ns:
                 server.answers = 0
-            server.entry, server.started_ns = entry, max(entry.started_ns, server.started_ns)
+            server.entry = entry
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -7,6 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from aniseshed import interface as api
@@ -451,6 +452,7 @@
         if server_list.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             for server in [s for s in self.servers.endpoints if s not in addresses]:
                 self.servers.remove_server(server)
+        server_list = self.without_replaced_servers(server_list, addresses)
         for entry in server_list.entries:
             if entry.health is not api.Health.GONE:
                 self.servers.update_server(entry.server, addresses[entry.server], entry.started_ns)
@@ -460,3 +462,30 @@
                 self.servers.remove_server(entry.server)
             elif entry.health is api.Health.DRAINING:
                 self.servers.stop_sending(entry.server)
+        self.servers.abort_outdated()
+
+    def without_replaced_servers(
+        self, server_list: api.ServerList, addresses: dict[bytes, Address]
+    ) -> api.ServerList:
+        """Mark servers as gone whose address is another's: of two, the one that started last is there."""
+        listed = {entry.server: entry for entry in server_list.entries}
+        for entry in server_list.entries:
+            if entry.health is not api.Health.READY:
+                continue
+            if other := self.ready_server_at(addresses[entry.server], listed):
+                replaced, present = sorted((other, entry), key=lambda server: server.started_ns)
+                log.warning(
+                    "%s is used no more: %s is at its address",
+                    replaced.server.decode(),
+                    present.server.decode(),
+                )
+                listed[replaced.server] = replace(replaced, health=api.Health.GONE)
+        return replace(server_list, entries=tuple(listed.values()))
+
+    def ready_server_at(
+        self, address: Address, listed: dict[bytes, api.ServerEntry]
+    ) -> api.ServerEntry | None:
+        """The server that was ready at an address before a list, unless the list names it."""
+        holder = self.servers.server_at.get(address)
+        known = None if holder is None or holder in listed else self.limiter.servers.get(holder)
+        return known.entry if known and known.entry.health is api.Health.READY else None
--- a/hookport/servers.py
+++ b/hookport/servers.py
@@ -184,7 +184,8 @@
         self.draining: set[bytes] = set()
         self.connections: dict[ServerConnection, None] = {}
         self.idle: dict[bytes, list[ServerConnection]] = {}  # by server, the most recently used last
-        self.connecting: dict[Attempt, None] = {}
+        self.server_at: dict[Address, bytes] = {}  # the server that was last told to be at an address
+        self.connecting: dict[Attempt, Endpoint] = {}
         self.sweep_timer: asyncio.TimerHandle | None = None
         self.probe_tasks: set[asyncio.Task[bool]] = set()
 
@@ -193,14 +194,31 @@
         endpoint = address, started_ns
         if self.endpoints.get(server) != endpoint:
             self.close_idle(server)
+            self.release_address(server)
         self.endpoints[server] = endpoint
+        self.server_at[address] = server
         self.draining.discard(server)
 
     def remove_server(self, server: bytes) -> None:
+        self.release_address(server)
         self.endpoints.pop(server, None)
         self.stop_sending(server)
         self.draining.discard(server)
 
+    def release_address(self, server: bytes) -> None:
+        """Forget that a server is at its address, unless another one has taken that."""
+        endpoint = self.endpoints.get(server)
+        if endpoint and self.server_at.get(endpoint[0]) == server:
+            del self.server_at[endpoint[0]]
+
+    def abort_outdated(self) -> None:
+        """End the attempts whose connection comes up at an endpoint that their server has no more.
+
+        Another process may be there, and the server itself may have moved or restarted."""
+        for attempt, endpoint in list(self.connecting.items()):
+            if self.endpoints.get(attempt.server) != endpoint:
+                self.abort_attempt(attempt, Outcome.NOT_SENT)
+
     def close_idle(self, server: bytes) -> None:
         for connection in self.idle.pop(server, ()):
             connection.transport.abort()
@@ -218,7 +236,7 @@
         endpoint = self.endpoints.get(attempt.server)
         if endpoint is None or not self.make_room():
             return self.end_attempt(attempt, Outcome.CONNECT_FAILED, b"")
-        self.connecting[attempt] = None
+        self.connecting[attempt] = endpoint
         attempt.connect_task = self.loop.create_task(self.open_connection(attempt, endpoint))
 
     def take_idle(self, server: bytes) -> ServerConnection | None:
@@ -318,20 +336,23 @@
 
     def abort_attempt(self, attempt: Attempt, outcome: Outcome) -> None:
         """End an attempt without its answer; one that was not fully written has never been executed."""
+        endpoint: Endpoint | None
         if attempt in self.connecting:
-            del self.connecting[attempt]
+            endpoint = self.connecting.pop(attempt)
             if attempt.connect_task:
                 attempt.connect_task.cancel()
             never_executed = True
         elif connection := attempt.connection:
             connection.attempt, never_executed = None, not connection.written
+            endpoint = connection.endpoint
             connection.transport.abort()
         else:
             return
         if outcome is Outcome.TIMEOUT:
             # A machine that went down without closing its connections would lose one request on each idle
             # connection; a new connection fails in time, which shows that nothing was executed.
-            self.close_idle(attempt.server)
+            if self.endpoints.get(attempt.server) == endpoint:
+                self.close_idle(attempt.server)
             outcome = Outcome.CONNECT_FAILED if never_executed else outcome
         self.end_attempt(attempt, outcome, b"")
 
