Refuse the requests of a client that sends more than may wait, until it has caught up

Cause: the close lies behind bytes that the system has no room for while the connection is not read, so that no look at the socket shows it.

Change: from the moment that a client has more than 4 MiB waiting (one read while memory is short) its requests are refused at once, until all that it sent is read. Kin: connections that hold no more than one read no longer give way for what others hold.

--- a/benchmarks/client_edge.py
+++ b/benchmarks/client_edge.py
@@ -34,6 +34,8 @@
 MEMORY_LIMIT_MB = 192
 CLIENTS = 600  # of the 615 connections that 1,024 descriptors allow
 ATTACK_S = 6.0
+NEW_NAMES_S = 30.0  # several times as long as a customer is remembered
+PLAN = {"perSecond": 1.0, "storeSize": 4.0}  # of each customer, as small as the smallest of a site
 SERVER_S = 0.05
 CLAIM_WAIT_MS = 3000
 LONG_ANSWER = b"*3\r\n$400000\r\n" + b"v" * 400_000 + b"\r\n$-1\r\n$-1\r\n"
@@ -187,14 +189,19 @@
 
 @dataclass
 class Scenario:
-    """What the bad clients do, and what the server answers."""
+    """What the bad clients do for how long, and what the servers answer to them."""
 
     attack: Callable[[int, float], None]
+    seconds: float
     answer: bytes = VALUE
 
 
 SCENARIOS = {
-    attack.__name__: Scenario(attack, LONG_ANSWER if attack is read_no_answers else VALUE)
+    attack.__name__: Scenario(
+        attack,
+        NEW_NAMES_S if attack is flood_new_names else ATTACK_S,
+        LONG_ANSWER if attack is read_no_answers else VALUE,
+    )
     for attack in (
         stop_half_way, stop_within_a_claim, write_slowly, heads_of_short_fields, pipeline_long_claims,
         trickle, read_no_answers, flood_unsound, flood_small, flood_new_names, flood_unsound_behind_sound,
@@ -232,8 +239,9 @@
     async def send_claim(self, number: int) -> None:
         try:
             client = await self.connect()
+            customer = number % 1000
             async with asyncio.timeout(CLAIM_WAIT_MS / 1000 + 0.5):
-                answer = await client.ask(*submit(number, CLAIM_WAIT_MS))
+                answer = await client.ask(b"SVC.SUBMIT", b"%016x" % (10**6 + customer), *submit(number)[2:])
             client.writer.close()
         except (EOFError, OSError, TimeoutError) as error:
             self.results["closed" if isinstance(error, EOFError) else "not answered"] += 1
@@ -253,7 +261,7 @@
         await asyncio.sleep(SERVER_S)
         writer.write(VALUE if arguments[2].startswith(b"0") else scenario.answer)
 
-    async with World(*[answer_later] * 20, perSecond=1e6, storeSize=1e6) as world:
+    async with World(*[answer_later] * 20, **PLAN) as world:
         await world.spawn(folder)
         assert world.process
         asyncio.get_running_loop().create_task(drain(world.process.stderr))
@@ -296,7 +304,8 @@
     parser.add_argument("--port", type=int)
     arguments = parser.parse_args()
     if arguments.attack:
-        SCENARIOS[arguments.attack].attack(arguments.port, time.monotonic() + ATTACK_S)
+        scenario = SCENARIOS[arguments.attack]
+        scenario.attack(arguments.port, time.monotonic() + scenario.seconds)
     else:
         os.chdir(arguments.tree)  # the limiter is started with ``python -m hookport`` there
         asyncio.run(main(arguments.scenarios))
--- a/hookport/client_connection.py
+++ b/hookport/client_connection.py
@@ -57,8 +57,8 @@
     __slots__ = (
         "accepted_count", "arrival_times", "clients", "closing", "command_arrival_s", "command_count",
         "handling_commands", "held_bytes", "input_ready", "last_input", "pending_replies", "queue", "reader",
-        "reading_paused", "rejected_count", "session", "transport", "waiting_reply_bytes", "withheld_errors",
-        "write_paused",
+        "reading_behind", "reading_paused", "rejected_count", "session", "transport", "waiting_reply_bytes",
+        "withheld_errors", "write_paused",
     )  # fmt: skip
 
     def __init__(self, clients: Clients) -> None:
@@ -72,6 +72,7 @@
         self.queue: WaitQueue | None = None  # the queue of what the client has to do next
         self.session: Session | None = None  # set by the limit commands, if the options enable them
         self.reading_paused = False
+        self.reading_behind = False  # If True, the client has sent more than may wait.
         self.write_paused = False
         self.handling_commands = False
         self.input_ready = False  # If True, complete commands may wait to be handled.
@@ -260,6 +261,7 @@
         """Pause reading while the client is behind, so that one client cannot fill the memory."""
         max_waiting_bytes = self.clients.memory.max_waiting_bytes()
         too_much_waits = self.input_ready and self.reader.unparsed_bytes() > max_waiting_bytes
+        self.reading_behind = self.reading_behind or too_much_waits
         pause = self.closing or self.last_input or self.write_paused or too_much_waits
         if pause != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = pause
@@ -270,6 +272,14 @@
                 self.clients.hangup_monitor.remove(self)
                 self.transport.resume_reading()
 
+    def is_behind(self) -> bool:
+        """Whether the client's close may lie behind bytes that were not read, as it has sent too much.
+
+        Nothing should begin for it then.  It has caught up once all that it sent is read."""
+        if self.reading_behind and not self.reading_paused and not self.has_unread_data():
+            self.reading_behind = False
+        return self.reading_behind
+
     def abandon(self) -> None:
         """Drop the connection at once with all that waits on it."""
         self.discard()
@@ -307,11 +317,11 @@
                 self.clients.on_memory_exceeded()
 
     def give_up_memory(self) -> None:
-        """Free what this connection holds, if its client has to do something next."""
+        """Free what this connection holds, if it is more than a read and the client has to act next."""
         if self.write_paused:
             self.clients.close_counts["memory for unread replies"] += 1
             self.abandon()
-        elif self.held_bytes and not self.input_ready:
+        elif self.held_bytes > self.clients.memory.read_bytes and not self.input_ready:
             self.close_with_error("the memory for client connections is used up")
 
     def pause_writing(self) -> None:
--- a/hookport/memory_budget.py
+++ b/hookport/memory_budget.py
@@ -5,7 +5,7 @@
 MAX_READ_BYTES = 64 * 1024
 MIN_READ_BYTES = 4 * 1024
 # A connection is read while fewer bytes of commands wait on it: its client's close may lie behind bytes that
-# the system has no room for.
+# the system has no room for. Requests of a client that sends more are refused until it has caught up.
 MAX_WAITING_BYTES = 4 << 20
 
 
--- a/hookport/node.py
+++ b/hookport/node.py
@@ -288,7 +288,8 @@
         deadline_ns = self.settings.classes[fields.class_index].deadline_ns
         timeout_ns = min(max(1, command.wait_ms - REPLY_MARGIN_MS) * MS_NS, deadline_ns)
         timeout_ns -= pending_reply.connection.command_age_ns()
-        if self.refuses_requests or memory_full or too_many or timeout_ns <= 0:
+        refused = self.refuses_requests or memory_full or too_many or timeout_ns <= 0
+        if refused or pending_reply.connection.is_behind():
             return pending_reply.complete(resp.busy(self.settings.max_retry_after_ns))
         request_id = self.new_id()
         now_ns = self.now_ns()
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -213,6 +213,31 @@
     run(scenario)
 
 
+def test_requests_of_a_client_that_sends_more_than_may_wait_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that are sent on for a client whose close the system has no room for."""
+    monkeypatch.setattr(memory_budget, "MAX_WAITING_BYTES", 64 * 1024)
+
+    async def scenario() -> None:
+        async with World(hold_submits) as world:
+            client, node = await (await world.start()).client(), world.node
+            assert node
+            commands = [submit(n, body=b"b" * 60_000) for n in range(200)]
+            client.writer.write(b"".join(map(hiredis.pack_command, commands)))
+            (connection,) = node.clients.connections
+            await until(lambda: connection.reading_behind)
+            begun = len(node.attempts)
+            world.stubs[0].release.set()
+            replies = [str(await client.answer()) for _ in commands]
+            served = replies.count("b'value'")
+            assert served == len(world.stubs[0].commands) <= begun + 5  # the last ones when it has caught up
+            assert {reply.split()[0] for reply in replies} == {"b'value'", "BUSY"}
+            assert await client.ask(*submit(1000)) == b"value"  # it has caught up
+
+    run(scenario)
+
+
 def test_attempt_that_may_not_be_cancelled_does_not_begin_for_a_client_that_has_gone() -> None:
     """Guards against a late connection that carries a request whose client has gone."""
 
