Open a silent watch anew at once, and do not let the delay after a failure grow

Cause: after each silent watch the delay to the next one doubled up to 2 s, though the agent takes connections at once; discovery returned in such a delay, and what the agent has counts as told.

Change: no delay after silence, 0.1 s after a watch that ended or did not come up.

--- a/hookport/discovery.py
+++ b/hookport/discovery.py
@@ -19,7 +19,9 @@
 
 # Discovery sends an empty line every 2 s; a watch that misses two of them is considered dead.
 SILENCE_TIMEOUT_S = 5.0
-RECONNECT_DELAY_S = (0.1, 2.0)  # initial and maximum delay; doubled after each consecutive failure
+# Discovery's agent is on the same machine, and what it has counts as told: the delay must be a small part of the
+# grace of a drain, however long discovery was away.
+RECONNECT_DELAY_S = 0.1
 MAX_LINE_BYTES = 8 << 20  # limit for one JSON object, also if it spans several lines
 MAX_REPORTED_PROBLEMS = 1024  # distinct problems with entries that are logged, each once
 JSON_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
@@ -174,7 +176,9 @@
     ) -> None:
         self.loop, self.address, self.names, self.on_list = loop, address, names, on_list
         self.connect_timeout_s = connect_timeout_s
-        self.auto_reconnect = auto_reconnect  # if False, the policy opens each watch (``subscribe``)
+        self.auto_reconnect = (
+            auto_reconnect  # if False, the policy decides when a watch that ended is reopened
+        )
         # on_activity is called for each line; jitter varies the reconnect delay between limiters.
         self.on_activity, self.jitter = on_activity, jitter
         self.last_line_s = 0.0  # loop time at which the last line arrived
@@ -183,7 +187,6 @@
         self.watch: Watch | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.reconnect_delay_s = RECONNECT_DELAY_S[0]
 
     def start(self, known_list: dict[str, Any], full_list: bool = False) -> None:
         """Pass on the configuration's list, which may be outdated, and open the watch.
@@ -214,7 +217,7 @@
             return
         log.info("switching from %s:%d to %s:%d", *self.address, *address)
         watching = self.auto_reconnect or self.watch is not None
-        self.address, self.reconnect_delay_s = address, RECONNECT_DELAY_S[0]
+        self.address = address
         self.generation = 0  # generations of another service are not comparable
         if watching:
             self.subscribe(True)
@@ -244,13 +247,17 @@
         self.timer = self.loop.call_later(SILENCE_TIMEOUT_S, self.on_silence)
 
     def on_silence(self) -> None:
-        log.warning("closing the watch: no data within the silence timeout")
-        if self.watch:
-            self.watch.transport.abort()
+        """Open a silent watch anew at once: what it misses counts as told soon after it fell silent."""
+        log.warning("watch silent for %.1f s, reconnecting", SILENCE_TIMEOUT_S)
+        if self.watch and self.watch.pending_lines:
+            self.generation = 0  # the incomplete object is lost: the next watch requests the full list
+        if self.auto_reconnect:
+            self.on_list(ServerList(ListKind.FAILED, ()), {})
+        self.subscribe(True)
 
     def on_line(self, line: bytes) -> None:
         self.restart_silence_timer()
-        self.last_line_s, self.reconnect_delay_s = self.loop.time(), RECONNECT_DELAY_S[0]
+        self.last_line_s = self.loop.time()
         if line:
             generation, server_list, addresses = self.parse_line(line)
             self.generation = generation
@@ -272,8 +279,7 @@
             self.generation = 0  # the incomplete object is lost: the next watch requests the full list
         self.close()
         if self.auto_reconnect:
-            self.timer = self.loop.call_later(self.jitter(self.reconnect_delay_s), self.subscribe, True)
-            self.reconnect_delay_s = min(2 * self.reconnect_delay_s, RECONNECT_DELAY_S[1])
+            self.timer = self.loop.call_later(self.jitter(RECONNECT_DELAY_S), self.subscribe, True)
         self.on_list(ServerList(ListKind.FAILED, ()), {})
 
     def close(self) -> None:
