--- a/hookport/discovery.py
+++ b/hookport/discovery.py
@@ -19,8 +19,8 @@
 
 # Discovery sends an empty line every 2 s; a watch that misses two of them is considered dead.
 SILENCE_TIMEOUT_S = 5.0
-# Discovery's agent is on the same machine, and what it has counts as told: the delay must be a small part of the
-# grace of a drain, however long discovery was away.
+# Discovery's agent is on the same machine, and what it has counts as told: the delay must be a small part of
+# the grace of a drain, however long discovery was away.
 RECONNECT_DELAY_S = 0.1
 MAX_LINE_BYTES = 8 << 20  # limit for one JSON object, also if it spans several lines
 MAX_REPORTED_PROBLEMS = 1024  # distinct problems with entries that are logged, each once
--- a/hookport/emulator/whole.py
+++ b/hookport/emulator/whole.py
@@ -203,7 +203,7 @@
         self.record_event("ready", slot)
 
     async def run_limiter(self, slot: LimiterSlot, node: Node, started: asyncio.Event) -> None:
-        """Run a limiter until it has shut down, as ``hookport.__main__`` does."""
+        """Run a limiter until it has shut down, as ``hookport.daemon`` does."""
         try:
             await node.start()
         except OSError as error:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -42,7 +42,7 @@
 def test_the_daemon_imports_none_of_the_tools() -> None:
     """An import at module level would make every daemon load the tools and their dependencies."""
     code = (
-        "import sys, hookport.__main__\n"
+        "import sys, hookport.__main__, hookport.daemon\n"
         "heavy = {'hookport.cli', 'hookport.rehearsal', 'msgspec', 'rich', 'psutil', 'argparse'}\n"
         "print(sorted(heavy & set(sys.modules)))"
     )
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -290,7 +290,8 @@
 
 
 def test_modules_of_disabled_options_are_not_imported() -> None:
-    code = "import sys, hookport.__main__; print([m for m in sys.modules if m.split('.')[-1] in "
-    code += "('membership', 'options', 'msgspec', 'emulator')])"
+    code = "import sys, hookport.__main__, hookport.daemon; "
+    code += "print([m for m in sys.modules if m.split('.')[-1] in ("
+    code += "'membership', 'options', 'msgspec', 'emulator')])"
     output = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert output.strip() == "[]"
