Tests: end the connections of clients with their world

Seen: a StreamWriter that is collected after its loop has closed makes pytest report an unraisable exception; in one run (tests/test_startup_signals.py, five passed) pytest itself then ended with "SystemError: AST constructor recursion depth mismatch", as the report came while it parsed a module. A member test had the warning before.

Change: World aborts the clients that it made, and waits for the loop to end them. No check changes.

--- a/tests/test_startup_signals.py
+++ b/tests/test_startup_signals.py
@@ -105,5 +105,7 @@
             assert await serves(world, process)
             await until(lambda: new_discovery.watches)
             new_discovery.server.close()
+            new_discovery.watches[-1].transport.abort()
+            await asyncio.sleep(0)
 
     asyncio.run(scenario())
--- a/tests/world.py
+++ b/tests/world.py
@@ -92,6 +92,7 @@
         self.stubs = [Stub(handler) for handler in handlers]
         self.counter, self.plan = Stub(count or reply_with(b"$1\r\n1\r\n")), plan
         self.discovery = Discovery()
+        self.clients: list[Client] = []
         self.options: Options | None = None
         self.known = True  # whether the configuration's "known" list names the servers
         self.node: Node | None = None
@@ -141,7 +142,9 @@
         return self
 
     async def client(self) -> Client:
-        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+        client = Client(*await asyncio.open_connection("127.0.0.1", self.port))
+        self.clients.append(client)
+        return client
 
     async def __aexit__(self, *_: object) -> None:
         if self.process and self.process.returncode is None:
@@ -153,10 +156,14 @@
                 self.node.clients.server.close()
             for connection in list(self.node.clients.connections):
                 connection.transport.abort()
+        for client in self.clients:
+            if not client.writer.transport.is_closing():
+                client.writer.transport.abort()
         for listener in (*self.stubs, self.counter, self.discovery):
             listener.server.close()
         for writer in [w for s in (*self.stubs, self.counter) for w in s.writers] + self.discovery.watches:
             writer.transport.abort()
+        await asyncio.sleep(0)  # lets the transports end before the loop does
 
 
 def hold_connections(servers: Servers, prompt: int = 0) -> asyncio.Event:
