Learn the time of a unit from requests of less than one as if they were one

Cause: the time that an answer took was divided by the units of its request, and the mean of these times decides what cannot be done in time. Evidence: in the new test the mean is 20 ms before that request and more than 1e15 ns after it.

Change: less than one unit counts as one, in the mean and where it is used. Requests of one unit and more are decided as before.

Result: the test fails before and passes.

--- a/aniseshed/policy.py
+++ b/aniseshed/policy.py
@@ -169,7 +169,7 @@
         refused = (
             refused
             or bool(self.recent_attempts[class_index])
-            and self.unit_latency_ns[class_index] * units > request.timeout_ns
+            and self.unit_latency_ns[class_index] * max(1.0, units) > request.timeout_ns
         )
         if request.mode is RequestMode.PEEK:
             self.peek(pending, refused)
@@ -715,7 +715,8 @@
         """Update the statistics of a server. Failures do not count as fast answers; slowness is bounded."""
         server, mean_ns = attempt.server, self.unit_latency_ns[attempt.class_index]
         if event.outcome is Outcome.OK:
-            unit_ns = event.elapsed_ns / attempt.units
+            # Less than a unit takes no less time: a tiny amount would make its class look slow.
+            unit_ns = event.elapsed_ns / max(1.0, attempt.units)
             self.unit_latency_ns[attempt.class_index] = (
                 mean_ns + EWMA_WEIGHT * (unit_ns - mean_ns) if mean_ns else unit_ns
             )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -237,3 +237,15 @@
             assert bench.attempts.get(request_id, 0) <= SETTINGS.max_attempts
             assert isinstance(final, api.Refuse | api.Fail)
         assert not bench.limiter.pending and not bench.limiter.in_flight
+
+
+def test_request_of_a_tiny_amount_does_not_have_others_of_its_class_refused() -> None:
+    """Guards against one request that makes its class look so slow that all others are refused."""
+    bench = Bench()
+    for _ in range(5):
+        bench.end_attempt(bench.request(), elapsed_ns=20 * MS)
+    bench.end_attempt(bench.request(units=1e-9), elapsed_ns=20 * MS)
+    assert bench.limiter.unit_latency_ns[0] <= 20 * MS * 1.001
+    assert max(server.slowness for server in bench.limiter.servers.values()) < 1.1
+    held, other = bench.request(), bench.request()
+    assert bench.was_sent(held) and bench.was_sent(other)
