--- a/hookport/rehearsal/mutants.py
+++ b/hookport/rehearsal/mutants.py
@@ -287,7 +287,8 @@
 
 def ignores_bad_clients() -> None:
     """Neither answers nor closes the connections of clients that send malformed requests."""
-    patch(client_connection.Connection, "close_with_error", lambda old: lambda self, why: None)
+    for method in ("close_with_error", "reject_command"):
+        patch(client_connection.Connection, method, lambda old: lambda self, why: None)
 
 
 def crashes() -> None:
--- a/hookport/socket_inspector.py
+++ b/hookport/socket_inspector.py
@@ -6,6 +6,8 @@
 import select
 from typing import Protocol
 
+CLOSED_EVENTS = select.POLLERR | select.POLLHUP | select.POLLNVAL  # reported whatever is asked for
+
 
 class SocketInspector(Protocol):
     """Looks at the sockets of transports; a simulated network has its own."""
@@ -35,6 +37,6 @@
         if descriptor < 0:
             return True  # closed in the meantime
         self.poller.register(descriptor, event)
-        events = self.poller.poll(0)
+        found = self.poller.poll(0)
         self.poller.unregister(descriptor)
-        return bool(events)
+        return any(events & (event | CLOSED_EVENTS) for _, events in found)
