Look at the memory of connections again when one that was spared has had its turn

Cause: a connection whose bytes have not been looked at yet is spared, as they might be a complete command. When its turn shows that they are not, what it holds has not changed, and only growth asked for another look. Where all holders were spared at the last look, the memory stayed used up until their 2 s were over.

Change: each update of a connection's share compares the sum with the limit.

--- a/hookport/client_connection.py
+++ b/hookport/client_connection.py
@@ -309,12 +309,12 @@
             held_bytes += REFERENCE_BYTES * len(self.withheld_errors)
         if self.write_paused:
             held_bytes += self.transport.get_write_buffer_size()
-        if change_bytes := held_bytes - self.held_bytes:
-            self.held_bytes = held_bytes
-            memory = self.clients.memory
-            memory.held_bytes += change_bytes
-            if change_bytes > 0 and memory.is_exceeded():
-                self.clients.on_memory_exceeded()
+        memory = self.clients.memory
+        memory.held_bytes += held_bytes - self.held_bytes
+        self.held_bytes = held_bytes
+        # Also without a change: what the last look spared, as a command might have been complete, may go now.
+        if memory.held_bytes > memory.limit_bytes:
+            self.clients.on_memory_exceeded()
 
     def give_up_memory(self) -> None:
         """Free what this connection holds, if it is more than a read and the client has to act next."""
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -77,6 +77,32 @@
     run(scenario)
 
 
+def test_unfinished_command_that_waits_for_its_turn_gives_way_after_it() -> None:
+    """Guards against memory that stays used up, as all holders had a turn to come when it was looked for."""
+
+    async def scenario() -> None:
+        async with World(serve) as world:
+            node = (await world.start()).node
+            assert node
+            for n in range(20):
+                client = await world.client()
+                client.writer.write(hiredis.pack_command(submit(n, body=b"b" * 60_000))[:-10])
+            memory = node.clients.memory
+            await until(lambda: memory.held_bytes > 20 * 60_000)
+            memory.limit_bytes = 500_000
+            connections = list(node.clients.connections)
+            for connection in connections:
+                connection.input_ready = True
+            node.clients.free_memory()
+            assert len(node.clients.connections) == 20
+            for connection in connections:
+                connection.handle_commands(1)
+            await asyncio.sleep(0.1)
+            assert 0 < memory.held_bytes <= memory.limit_bytes
+
+    run(scenario)
+
+
 def test_requests_are_refused_while_waiting_commands_use_up_the_memory() -> None:
     """Guards against commands that were read and are dropped for their memory: each gets an answer."""
 
