One way to drop a watch that broke off, one loop to measure the cost of a command

Discovery.on_silence had the steps of on_watch_closed once more; both call drop_watch. The two benchmarks of CPU per command measured with the same loop; limit_commands.exchange serves both, and the round that is not counted is plain to see.

--- a/benchmarks/forwarded_request.py
+++ b/benchmarks/forwarded_request.py
@@ -16,14 +16,11 @@
 import sys
 import tempfile
 from pathlib import Path
-from typing import Any
-
-import hiredis
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "tests"), str(ROOT / "benchmarks")]
 
-from limit_commands import PIPELINE_DEPTH, encode_command  # noqa: E402
+from limit_commands import exchange  # noqa: E402
 from world import World, serve  # noqa: E402
 
 KINDS = ("PING", "SVC.QUERY")
@@ -37,23 +34,8 @@
 
 async def measure(port: int, pid: int, kind: str, count: int) -> tuple[float, float]:
     """Return the CPU time per command in microseconds, and the share of commands that were not refused."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    batches = [
-        b"".join(encode_command(kind, start + n) for n in range(PIPELINE_DEPTH))
-        for start in range(0, count, PIPELINE_DEPTH)
-    ]
-    parser, replies = hiredis.Reader(), list[Any]()
-    before_us = cpu_time_us(pid)
-    for batch in batches:
-        writer.write(batch)
-        expected = len(replies) + PIPELINE_DEPTH
-        while len(replies) < expected:
-            parser.feed(await reader.read(1 << 16))
-            while (reply := parser.gets()) is not False:
-                replies.append(reply)
-    used_us = cpu_time_us(pid) - before_us
-    writer.close()
-    return used_us / len(replies), sum(isinstance(reply, bytes) for reply in replies) / len(replies)
+    used_us, replies = await exchange(port, kind, count, lambda: cpu_time_us(pid))
+    return used_us, sum(isinstance(reply, bytes) for reply in replies) / len(replies)
 
 
 async def main(count: int, rounds: int) -> None:
@@ -62,10 +44,12 @@
             await world.spawn(folder)
             assert world.process
             pid = world.process.pid
-            results = {kind: [await measure(world.port, pid, kind, count)][:0] for kind in KINDS}
-            for _ in range(rounds):
+            results: dict[str, list[tuple[float, float]]] = {kind: [] for kind in KINDS}
+            for round_index in range(rounds + 1):
                 for kind in KINDS:
-                    results[kind].append(await measure(world.port, pid, kind, count))
+                    result = await measure(world.port, pid, kind, count)
+                    if round_index > 0:
+                        results[kind].append(result)
     for kind, measured in results.items():
         values, shares = zip(*measured, strict=True)
         print(f"{kind}: minimum {min(values):.1f} µs, median {statistics.median(values):.1f} µs of "
--- a/benchmarks/limit_commands.py
+++ b/benchmarks/limit_commands.py
@@ -17,6 +17,7 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 import hiredis
 import psutil
@@ -43,25 +44,39 @@
     return pack(kind.encode(), customer, b"%s-%d" % (os.urandom(4).hex().encode(), n), FIELDS)
 
 
-async def cpu_per_command_us(port: int, process: psutil.Process, kind: str, count: int) -> float:
-    """Send ``count`` commands and return the limiter's CPU time for each, in microseconds."""
+async def exchange(
+    port: int, kind: str, count: int, cpu_time_us: Callable[[], float]
+) -> tuple[float, list[Any]]:
+    """Send about ``count`` commands; return the CPU time used for each, in microseconds, and the replies.
+
+    ``cpu_time_us`` returns the CPU time that the limiter has used so far."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     batches = [
         b"".join(encode_command(kind, at + n) for n in range(PIPELINE_DEPTH))
         for at in range(0, count, PIPELINE_DEPTH)
     ]
-    parser = hiredis.Reader()
-    before = process.cpu_times()
+    parser, replies = hiredis.Reader(), list[Any]()
+    before_us = cpu_time_us()
     for batch in batches:
         writer.write(batch)
-        pending = PIPELINE_DEPTH
-        while pending:
+        expected = len(replies) + PIPELINE_DEPTH
+        while len(replies) < expected:
             parser.feed(await reader.read(1 << 16))
-            while parser.gets() is not False:
-                pending -= 1
-    after = process.cpu_times()
+            while (reply := parser.gets()) is not False:
+                replies.append(reply)
+    used_us = cpu_time_us() - before_us
     writer.close()
-    return (after.user + after.system - before.user - before.system) / (len(batches) * PIPELINE_DEPTH) * 1e6
+    return used_us / len(replies), replies
+
+
+async def cpu_per_command_us(port: int, process: psutil.Process, kind: str, count: int) -> float:
+    """Send ``count`` commands and return the limiter's CPU time for each, in microseconds."""
+
+    def cpu_time_us() -> float:
+        times = process.cpu_times()
+        return float(times.user + times.system) * 1e6
+
+    return (await exchange(port, kind, count, cpu_time_us))[0]
 
 
 def in_process_limiters() -> Iterator[tuple[str, Callable[[], object]]]:
--- a/hookport/discovery.py
+++ b/hookport/discovery.py
@@ -249,8 +249,7 @@
     def on_silence(self) -> None:
         """Open a silent watch anew at once: what it misses counts as told soon after it fell silent."""
         log.warning("watch silent for %.1f s, reconnecting", SILENCE_TIMEOUT_S)
-        if self.watch and self.watch.pending_lines:
-            self.generation = 0  # the incomplete object is lost: the next watch requests the full list
+        self.drop_watch()
         if self.auto_reconnect:
             self.on_list(ServerList(ListKind.FAILED, ()), {})
         self.subscribe(True)
@@ -275,13 +274,17 @@
     def on_watch_closed(self, watch: Watch) -> None:
         if self.watch is not watch:
             return
-        if watch.pending_lines:
-            self.generation = 0  # the incomplete object is lost: the next watch requests the full list
-        self.close()
+        self.drop_watch()
         if self.auto_reconnect:
             self.timer = self.loop.call_later(self.jitter(RECONNECT_DELAY_S), self.subscribe, True)
         self.on_list(ServerList(ListKind.FAILED, ()), {})
 
+    def drop_watch(self) -> None:
+        """Close a watch that broke off; an object that is incomplete on it is lost."""
+        if self.watch and self.watch.pending_lines:
+            self.generation = 0  # the next watch requests the full list
+        self.close()
+
     def close(self) -> None:
         if self.timer:
             self.timer.cancel()
