Tests for guards that had none: evicted idle connections, short turns, what a poll reports

Each fails with its guard taken out (tried one by one): records of arrival merged within 5 ms, turns of fewer commands while many connections wait, the events that a poll reports beyond those asked for, the bytes of an open request and of withheld errors, and the look at the socket where an idle connection is evicted. No assertion is changed or removed; the test of the idle connection has a second parameter.

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -370,6 +370,9 @@
         times.add(1, 4.0)
     assert len(times.chunks) == 1  # one record for each tick of the clock, not for each chunk
     assert times.last_byte_s(0) == 4.0
+    times.add(1, 4.004)
+    times.add(1, 4.006)
+    assert [chunk[1] for chunk in times.chunks] == [4.0, 4.006]  # pieces that follow at once share a record
 
 
 def test_commands_that_an_answer_lets_through_are_decided_before_their_connection_closes() -> None:
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -1,6 +1,7 @@
 """How the bytes of client connections are read, wait and end: turns, memory, clients that leave."""
 
 import asyncio
+import select
 import socket
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
@@ -21,9 +22,10 @@
     until,
 )  # fmt: skip
 
-from hookport import memory_budget, resp_reader
+from hookport import clients, memory_budget, resp_reader
 from hookport.client_connection import MAX_PIPELINED, PendingReply
-from hookport.input_scheduler import COMMANDS_PER_TURN, TURNS_PER_LOOP_ITERATION
+from hookport.input_scheduler import COMMANDS_PER_TURN, TURNS_PER_LOOP_ITERATION, InputScheduler
+from hookport.socket_inspector import SystemSocketInspector
 
 # Turns of connections that have just received data, and then those of the queue.
 MAX_COMMANDS_PER_ITERATION = 2 * COMMANDS_PER_TURN * TURNS_PER_LOOP_ITERATION
@@ -85,10 +87,10 @@
     async def scenario() -> None:
         async with World(serve) as world:
             await world.start()
-            clients = [await world.client() for _ in range(100)]
+            senders = [await world.client() for _ in range(100)]
             counter = ParseCounter(monkeypatch)
-            await send_at_once(clients, hiredis.pack_command((b"PING",)) * COMMANDS_PER_TURN)
-            for client in clients:
+            await send_at_once(senders, hiredis.pack_command((b"PING",)) * COMMANDS_PER_TURN)
+            for client in senders:
                 assert [await client.answer() for _ in range(COMMANDS_PER_TURN)] == [
                     b"PONG"
                 ] * COMMANDS_PER_TURN
@@ -155,8 +157,12 @@
     run(scenario)
 
 
-def test_idle_connection_is_not_closed_over_a_request_that_was_just_sent() -> None:
+@pytest.mark.parametrize("evicted", [False, True])
+def test_idle_connection_is_not_closed_over_a_request_that_was_just_sent(
+    monkeypatch: pytest.MonkeyPatch, evicted: bool
+) -> None:
     """Guards against a request that is lost because it crosses the end of an idle connection."""
+    monkeypatch.setattr(clients, "EVICTION_GRACE_S", 0.0)
 
     async def scenario() -> None:
         async with World(serve) as world:
@@ -166,9 +172,14 @@
                 assert node and await client.ask(*query(1)) == b"value"
                 await until(lambda: node.clients.idle.entered_s)
                 sock.send(hiredis.pack_command(query(2)))
-                node.clients.idle.timeout_s = 0.0
-                node.clients.check_timeouts()
-                node.clients.idle.timeout_s = 15.0
+                if evicted:
+                    node.clients.max_connections = 1
+                    node.clients.evict_idle()
+                    node.clients.max_connections = 100
+                else:
+                    node.clients.idle.timeout_s = 0.0
+                    node.clients.check_timeouts()
+                    node.clients.idle.timeout_s = 15.0
                 assert await client.answer() == b"value"
                 client.writer.transport.abort()
 
@@ -276,3 +287,45 @@
             assert not node.limiter.in_flight and node.limiter.concurrency.current == 0
 
     run(scenario)
+
+
+@pytest.mark.parametrize(("waiting", "commands"), [(2, COMMANDS_PER_TURN), (16, 2), (100, 1)])
+def test_turns_are_shorter_the_more_connections_wait(waiting: int, commands: int) -> None:
+    """Guards against a command that waits for four commands of each of hundreds of connections."""
+    turns: list[int] = []
+
+    class Source:
+        def handle_commands(self, max_commands: int) -> None:
+            turns.append(max_commands)
+
+    async def scenario() -> None:
+        scheduler = InputScheduler(asyncio.get_running_loop())
+        for _ in range(waiting):
+            scheduler.add(Source())
+        scheduler.run()
+        scheduler.close()
+        assert set(turns) == {commands} and sum(turns) <= COMMANDS_PER_TURN * TURNS_PER_LOOP_ITERATION
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("events", "closed"), [(select.POLLIN, False), (select.POLLHUP, True), (select.POLLRDHUP, True)]
+)
+def test_close_is_told_by_the_events_of_a_close_alone(events: int, closed: bool) -> None:
+    """Guards against a client that is dropped as gone, where a poll reports more than was asked for."""
+
+    class Poller:
+        register = unregister = lambda *_: None
+
+        def poll(self, timeout: int) -> list[tuple[int, int]]:
+            return [(0, events)]
+
+    class Transport:
+        def get_extra_info(self, name: str) -> socket.socket:
+            return sock
+
+    inspector = SystemSocketInspector()
+    inspector.poller = Poller()  # type: ignore[assignment]
+    with socket.socket() as sock:
+        assert inspector.is_closed_by_peer(Transport()) is closed  # type: ignore[arg-type]
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -10,7 +10,7 @@
 import uvloop
 from world import World, hold_submits, query, replies_until_close, reply_with, serve, submit, until
 
-from hookport.node import Node
+from hookport.node import OPEN_REQUEST_BYTES, Node
 from hookport.resp_reader import MAX_COMMAND_BYTES, MIN_CHUNK_BYTES, Reader, StreamError
 
 MEMORY_LIMIT_MB = 192  # of the limiter's configuration
@@ -213,3 +213,23 @@
     for _ in range(MIN_CHUNK_BYTES * 4):
         reader.feed(b"x")
     assert len(reader.chunks) <= 5 and reader.unparsed_bytes() == MIN_CHUNK_BYTES * 4
+
+
+def test_open_requests_and_withheld_errors_count_as_memory() -> None:
+    """Guards against many small things that take memory and are not counted."""
+
+    async def scenario() -> None:
+        async with World(hold_submits) as world:
+            sound, bad, node = await (await world.start()).client(), await world.client(), world.node
+            assert node
+            sound.send(*submit(1))
+            await until(lambda: node.open_requests)
+            assert node.open_request_bytes > OPEN_REQUEST_BYTES
+            bad.writer.write(hiredis.pack_command((b"SVC.QUERY",)) * 1000)
+            connection = list(node.clients.connections)[-1]
+            while not connection.withheld_errors:
+                await asyncio.sleep(0)
+            connection.update_held_bytes()
+            assert connection.held_bytes > connection.reader.held_bytes()
+
+    run(scenario)
